A planned hand-over gives the engine's lease back when its orders are out of use

Ruled out: ages of orders (they were right), frozen owners (they wait their lease out).

A hand-over now takes up to 1.75 s, during which the old owner's orders serve.

Conclusion: engines' leases are not renewed and freed at their end; shards still go at once; a live holder that asks again is told of the grant it has.

--- a/custody/keeper.go
+++ b/custody/keeper.go
@@ -23,7 +23,7 @@
 	DutyRenew = 500_000
 	DutySlack = 250_000 // a holder stops this much before its lease ends
 	reportOld = 1_500_000
-	proxyOld  = 2_500_000
+	proxyOld  = 1_500_000
 	importOld = 60_000_000
 	planOld   = 3_000_000
 	turnBound = 19_000_000 // an engine that runs other weights still is taken out
@@ -126,9 +126,30 @@
 }
 
 type proxy struct {
-	site         string
-	want, active int
-	at           int64
+	site string
+	want map[string]float64
+	at   int64
+}
+
+// lately is a proxy's demand without its flicker: it rises at once and falls by
+// an eighth of the way with each report, since room that is taken away from one
+// proxy and given to another is used twice until the former's runs have ended.
+// More than the whole fleet could run counts for nothing: among proxies of a group
+// with too much the longer line must not get more and more.
+func (p *proxy) lately(now map[string]int, most int) map[string]float64 {
+	out := map[string]float64{}
+	if p != nil {
+		for g, x := range p.want {
+			if x *= 0.875; x > 0.05 {
+				out[g] = x
+			}
+		}
+	}
+	for g, n := range now {
+		x := float64(min(n, most))
+		out[g] = max(x, out[g]+x/8)
+	}
+	return out
 }
 
 // DutyAsk is an operation on a duty's lease that must be carried out.
@@ -323,18 +344,21 @@
 	var as []DutyAsk
 	place := k.Placement()
 	for n, d := range k.duties {
-		if !d.asking && place[n] != k.name {
-			if now < d.until && !d.freeing {
-				// Stopped here first; only then is the lease given back.
-				d.freeing, d.until = true, 0
-				k.dropped(n)
-				as = append(as, DutyAsk{Key: n, Epoch: d.epoch, Free: true})
-				d.asking, d.askedAt = true, now
-				k.Counts.Freed++
-			} else if now >= d.until {
-				k.dropped(n)
-				delete(k.duties, n)
-			}
+		if d.asking || place[n] == k.name {
+			continue
+		}
+		// An engine's orders are out at proxies until the lease ends: it is not
+		// renewed, and given back then. A shard's owner orders nobody.
+		if d.epoch != 0 && !d.freeing && (now >= d.until || !strings.HasPrefix(n, "duty/engine/")) {
+			// Stopped here first; only then is the lease given back.
+			d.freeing, d.until = true, 0
+			k.dropped(n)
+			as = append(as, DutyAsk{Key: n, Epoch: d.epoch, Free: true})
+			d.asking, d.askedAt = true, now
+			k.Counts.Freed++
+		} else if now >= d.until {
+			k.dropped(n)
+			delete(k.duties, n)
 		}
 	}
 	for _, n := range k.allDuties() {
@@ -358,6 +382,9 @@
 	return as
 }
 
+// Idle reports whether every duty was given back or ran out.
+func (k *Keeper) Idle() bool { return len(k.duties) == 0 }
+
 // Held takes in the answer to a lease operation that was asked at time asked.
 func (k *Keeper) Held(now int64, a DutyAsk, asked int64, ok bool, epoch uint64) {
 	d := k.duties[a.Key]
@@ -901,15 +928,29 @@
 
 // Ask is what a proxy tells when it asks for its orders.
 type Ask struct {
-	Proxy, Site  string
-	Want, Active int
-	Imports      []Import
-	Seen         []Seen
+	Proxy, Site string
+	Want        map[string]int // waiting and running, by group
+	Active      int
+	Imports     []Import
+	Seen        []Seen
 }
 
 // Orders takes in a proxy's demand and answers with its standing orders.
 func (k *Keeper) Orders(now int64, a Ask) []Order {
-	k.proxies[a.Proxy] = &proxy{a.Site, a.Want, a.Active, now}
+	serving, most := 0, plan.Limits{}.Defaults().RoomPerEngine
+	for _, l := range k.listing {
+		if !l.Store && !l.Leaving {
+			serving++
+		}
+	}
+	share := map[string]float64{}
+	if k.plan != nil {
+		most = k.plan.Limits.RoomPerEngine
+		for g, x := range k.plan.Groups {
+			share[g] = x.Share
+		}
+	}
+	k.proxies[a.Proxy] = &proxy{a.Site, k.proxies[a.Proxy].lately(a.Want, most*max(1, serving)), now}
 	for n, p := range k.proxies {
 		if now-p.at > proxyOld {
 			delete(k.proxies, n) // a dead proxy's room goes back to the others
@@ -961,7 +1002,7 @@
 			if e.suspect > 3 {
 				room = max(1, room/4) // slow start for one that fails, never none
 			}
-			o.Room = clearing.Split(room, ds, int(now/DutyTerm)+int(score(n, "")%97))[a.Proxy]
+			o.Room = clearing.Split(room, share, serving, ds, int(now/DutyTerm)+int(score(n, "")%97))[a.Proxy]
 		}
 		os = append(os, o)
 	}
--- a/internal/app/custodian/custodian.go
+++ b/internal/app/custodian/custodian.go
@@ -39,7 +39,7 @@
 
 // Defaults of the settings.
 func Defaults() Settings {
-	return Settings{Node: base.Node{Drain: 2_000_000}, Taped: base.TapeDefaults}
+	return Settings{Node: base.Node{Drain: 3_000_000}, Taped: base.TapeDefaults}
 }
 
 type custodian struct {
@@ -207,22 +207,17 @@
 	})
 }
 
-// leave gives every duty back, so that others need not wait the leases out.
+// leave gives every duty back, so that others need not wait the leases out: the
+// shards at once, the engines when no order is in use any more (design §10).
 func (c *custodian) leave(ctx context.Context) {
-	var as []custody.DutyAsk
-	c.with(func(now int64, k *reel.Keeper) {
-		k.Peers(now, nil)
-		as = k.Want(now)
-	})
-	done := make(chan struct{}, len(as))
-	for _, a := range as {
-		c.d.Crew.Go("duty.free", func(ctx context.Context) {
-			c.hold(ctx, a)
-			done <- struct{}{}
-		})
-	}
-	for range as {
-		if _, ok := crew.Wait(ctx, done); !ok {
+	c.with(func(now int64, k *reel.Keeper) { k.Peers(now, nil) })
+	for idle := false; !idle; {
+		var as []custody.DutyAsk
+		c.with(func(now int64, k *reel.Keeper) { as, idle = k.Want(now), k.Idle() })
+		for _, a := range as {
+			c.d.Crew.Go("duty.free", func(ctx context.Context) { c.hold(ctx, a) })
+		}
+		if !idle && !crew.Pause(ctx, 50_000) {
 			return
 		}
 	}
--- a/settle/op.go
+++ b/settle/op.go
@@ -134,12 +134,14 @@
 		n.change(now, i, s, op, Entry{Key: op.Key, Rev: e.Rev + 1, Val: dutyVal{}.bytes()}, ans, o)
 	case op.Kind == OpFree || op.Holder == "" || op.Term <= 0:
 		ans(Conflict, e)
-	case live && d.Holder == op.Holder && e.Rev == op.Expect:
+	case live && d.Holder == op.Holder:
+		// Also for one whose grant was not heard, or whose question comes late: a
+		// second grant to the same life would make its own orders out-of-date.
 		s.holds[op.Key] = now + d.Term
 		ans(Done, e)
 	case live && d.Holder != op.Holder:
 		ans(Conflict, e)
-	default: // free, run out, or its own holder's whose grant was not heard
+	default: // free, or run out
 		s.holds[op.Key] = now + op.Term
 		n.change(now, i, s, op, Entry{Key: op.Key, Rev: e.Rev + 1, Val: dutyVal{op.Holder, op.Term}.bytes()}, ans, o)
 	}
--- a/settle/settle_test.go
+++ b/settle/settle_test.go
@@ -194,6 +194,9 @@
 	if b := hold("p", a.Rev, OpHold); b.Status != Done || b.Rev != a.Rev {
 		t.Fatalf("a renewal: %+v", b)
 	}
+	if b := hold("p", 0, OpHold); b.Status != Done || b.Rev != a.Rev {
+		t.Fatalf("asked again by its own holder, who did not hear of the grant: %+v after %+v", b, a)
+	}
 	wait(900_000)
 	if b := hold("q", 0, OpHold); b.Status != Conflict {
 		t.Fatalf("a renewed duty was given away: %+v", b)
--- a/sim/engines.go
+++ b/sim/engines.go
@@ -15,7 +15,7 @@
 	f       *Fleet
 	store   bool
 	inc     uint64
-	kept    map[cue.Key]string // part -> domain|weights it was made under
+	kept    map[cue.Key]made
 	order   []cue.Key
 	events  []custody.Event
 	seq     uint64
@@ -32,6 +32,13 @@
 
 const pieces = 5
 
+// made tells whose run computed a part, under which weights and when, in true
+// time: the judge goes by that and not by the names that the parts go by.
+type made struct {
+	group, weights string
+	at             int64
+}
+
 func newEngine(f *Fleet, name, site string, store bool) *Engine {
 	e := &Engine{f: f, store: store, room: 12, most: 120, named: "w1"}
 	e.Host = f.W.NewHost(name, site, e.start)
@@ -54,7 +61,7 @@
 
 func (e *Engine) start() {
 	e.inc = uint64(e.f.W.Rng.Int63())
-	e.kept, e.order, e.events, e.seq, e.turning, e.epoch, e.runs = map[cue.Key]string{}, nil, nil, 0, "", 0, map[string]*run{}
+	e.kept, e.order, e.events, e.seq, e.turning, e.epoch, e.runs = map[cue.Key]made{}, nil, nil, 0, "", 0, map[string]*run{}
 	e.weights = e.named
 }
 
@@ -72,21 +79,21 @@
 	}
 }
 
-func (e *Engine) keep(k cue.Key, under string) {
+func (e *Engine) keep(k cue.Key, m made) {
 	if _, ok := e.kept[k]; ok {
 		return
 	}
-	e.kept[k] = under
+	e.kept[k] = m
 	e.order = append(e.order, k)
 	e.tell(custody.Event{Keep: true, Part: k, HasPart: true})
 	if len(e.order) > e.most {
 		o := e.order[0]
 		e.order = e.order[1:]
-		under := e.kept[o]
+		m := e.kept[o]
 		delete(e.kept, o)
 		e.tell(custody.Event{Drop: true, Part: o, HasPart: true})
 		if st := e.f.engine("store"); !e.store && st != nil {
-			e.Send(st.Host, func() { st.keep(o, under) })
+			e.Send(st.Host, func() { st.keep(o, m) })
 		}
 	}
 }
@@ -135,7 +142,7 @@
 	for _, k := range e.order {
 		e.tell(custody.Event{Drop: true, Part: k, HasPart: true})
 	}
-	e.kept, e.order = map[cue.Key]string{}, nil
+	e.kept, e.order = map[cue.Key]made{}, nil
 	e.f.W.Note("%s turned to %s", e.Name, e.weights)
 }
 
@@ -236,12 +243,13 @@
 	e.runs[a.Attempt] = r
 	e.f.judge.ran(e, r)
 	e.seen = append(e.seen, e.f.W.now)
-	under := a.Domain + "|" + a.Weights
+	fresh := made{r.s.group, a.Weights, e.f.W.now}
+	reused := fresh
 	have := 0
 	for i := len(a.Chain) - 1; i >= 0; i-- {
-		if u, ok := e.kept[a.Chain[i]]; ok {
-			have = i + 1
-			e.f.judge.mixed(u, under, r)
+		if m, ok := e.kept[a.Chain[i]]; ok {
+			have, reused = i+1, m
+			e.f.judge.reused(m, r)
 			break
 		}
 	}
@@ -251,9 +259,9 @@
 			vain = a.WaitUS // the bound on waiting, then a plain recompute
 			e.f.Seen.InVain++
 		} else if p := e.f.engine(a.PeerAt); p != nil && p.up && !p.frozen && e.f.W.Rng.Intn(1000) >= e.f.HandFail && !e.f.W.cut[[2]string{e.Name, p.Name}] && !e.f.W.cut[[2]string{p.Name, e.Name}] {
-			if u, ok := p.kept[a.Chain[a.Take]]; ok {
-				e.f.judge.mixed(u, under, r)
-				have = a.Take + 1
+			if m, ok := p.kept[a.Chain[a.Take]]; ok {
+				e.f.judge.reused(m, r)
+				have, reused = a.Take+1, m
 			}
 		}
 	}
@@ -271,8 +279,12 @@
 		if r.ended || r.life != e.life {
 			return
 		}
-		for _, k := range a.Chain {
-			e.keep(k, under)
+		for i, k := range a.Chain {
+			if i < have {
+				e.keep(k, reused)
+			} else {
+				e.keep(k, fresh)
+			}
 		}
 		e.tell(custody.Event{Ran: a.Attempt, Filled: uint64(len(a.Chain) - have)})
 		e.step(r)
