Cache domains carry a generation of walls and weights, kept with the plan

Cause: a domain was a group's name. What a group left in the commons before it was walled off served the others, and the other way round; a walled group removed and made again found its predecessor's parts; weights named w1, w2, w1 went on with parts of the first w1. The judge could not see it: its walls never moved and it compared names.

Ruled out: generations counted at each node (they would differ), engines that drop parts (late, and the store keeps). No reuse is lost where no wall moved (TestSealMoves). Tapes have version 2, since they hold the register's value.

--- a/internal/app/registrar/api.go
+++ b/internal/app/registrar/api.go
@@ -77,7 +77,12 @@
 		default:
 			w.Header().Set("ETag", etag(a.Rev))
 			w.Header().Set("Content-Type", "application/json")
-			_, _ = w.Write(a.Val) // to the byte what was sent
+			_, raw, err := plan.Open(a.Val)
+			if err != nil {
+				base.JSON(w, http.StatusInternalServerError, Problems{Reason: "unreadable", Remedy: err.Error()})
+				return
+			}
+			_, _ = w.Write(raw) // to the byte what was sent
 		}
 	case http.MethodPut, http.MethodPatch:
 		r.change(w, q)
@@ -102,32 +107,41 @@
 		}
 	}
 	for try := 0; try < 50; try++ {
-		val, want := body, expect
+		// What is in force is read first in any case: the seal follows from it.
+		at := r.settled(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: planKey})
+		if settle.Status(at.Status) != settle.Done {
+			unsettled(w, at)
+			return
+		}
+		if expect != settle.AnyRev && expect != at.Rev {
+			conflict(w, at.Rev)
+			return
+		}
+		val := body
 		if q.Method == http.MethodPatch {
-			a := r.settled(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: planKey})
-			if settle.Status(a.Status) != settle.Done {
-				unsettled(w, a)
-				return
-			}
-			if a.Rev == 0 {
+			if at.Rev == 0 {
 				base.JSON(w, http.StatusNotFound, Problems{Reason: "no-plan", Remedy: "send a whole plan first"})
 				return
 			}
-			if expect != settle.AnyRev && expect != a.Rev {
-				conflict(w, a.Rev)
-				return
+			_, raw, err := plan.Open(at.Val)
+			if err == nil {
+				val, err = plan.Merge(raw, body)
 			}
-			if val, err = plan.Merge(a.Val, body); err != nil {
+			if err != nil {
 				base.JSON(w, http.StatusBadRequest, Problems{Reason: "bad-patch", Remedy: err.Error()})
 				return
 			}
-			want = a.Rev
 		}
 		if _, fs := plan.Parse(val); len(fs) > 0 {
 			base.JSON(w, http.StatusBadRequest, Problems{Reason: "bad-plan", Remedy: "mend every finding and send again; nothing was changed", Findings: fs})
 			return
 		}
-		a := r.settled(q.Context(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: planKey, Val: val, Expect: want})
+		sealed, err := plan.Sealed(at.Val, val, at.Rev+1)
+		if err != nil {
+			base.JSON(w, http.StatusInternalServerError, Problems{Reason: "unreadable", Remedy: err.Error()})
+			return
+		}
+		a := r.settled(q.Context(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: planKey, Val: sealed, Expect: at.Rev})
 		switch settle.Status(a.Status) {
 		case settle.Done:
 			r.d.Log.Info("plan_accepted", "rev", a.Rev, "method", q.Method, "from", q.RemoteAddr)
@@ -135,9 +149,9 @@
 			base.JSON(w, http.StatusOK, Accepted{a.Rev})
 			return
 		case settle.Conflict:
-			// Another operator's change came between reading and writing: a patch
-			// without a precondition is merged again into what is there now.
-			if q.Method == http.MethodPatch && expect == settle.AnyRev {
+			// Another operator's change came between reading and writing: without a
+			// precondition this one goes on top of what is there now.
+			if expect == settle.AnyRev {
 				continue
 			}
 			conflict(w, a.Rev)
--- a/internal/app/remisier/call.go
+++ b/internal/app/remisier/call.go
@@ -135,7 +135,7 @@
 		return
 	}
 	x := desk.Ticket{Ref: r.refs.Add(1), ID: t.ID, Group: group, Kind: t.Kind, Digest: digest, Due: arrived + t.DueUS,
-		Prompt: t.Prompt, Weights: p.Weights, Domain: p.Domain(group)}
+		Prompt: t.Prompt, Weights: p.Weights, Domain: p.Domain(group, p.Weights)}
 	x.Chain = cue.Chain(x.Domain, x.Weights, x.Prompt)
 	if r.s.Index {
 		x.Hints = r.hints(x.Chain)
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -92,6 +92,7 @@
 	Rev    uint64
 	Limits Limits
 	byKey  map[string]string
+	seal   Seal
 }
 
 // Compile makes a plan ready.
@@ -105,13 +106,19 @@
 	return c
 }
 
-// Load reads a plan that was already accepted.
-func Load(raw []byte, rev uint64) (*Compiled, error) {
+// Load reads a register's value: a plan that was already accepted, with its seal.
+func Load(val []byte, rev uint64) (*Compiled, error) {
+	s, raw, err := Open(val)
+	if err != nil {
+		return nil, err
+	}
 	var p Plan
 	if err := json.Unmarshal(raw, &p); err != nil {
 		return nil, err
 	}
-	return Compile(&p, rev), nil
+	c := Compile(&p, rev)
+	c.seal = s
+	return c, nil
 }
 
 // GroupOf finds the group whose key has that digest.
@@ -120,14 +127,6 @@
 	return g, ok
 }
 
-// Domain names the wall within which a group's kept prompts may be shared.
-func (c *Compiled) Domain(group string) string {
-	if c.Groups[group].Wall {
-		return "wall:" + group
-	}
-	return "commons"
-}
-
 // Allowed reports whether a group may send a kind.
 func (c *Compiled) Allowed(group, kind string) bool {
 	ks := c.Groups[group].Kinds
--- a/sim/day.go
+++ b/sim/day.go
@@ -17,12 +17,13 @@
 	DEngines   Day = "engines"    // engines crash, vanish, are replaced, leave; the store is lost
 	DNetwork   Day = "network"    // cuts, isolated machines, lost and repeated messages
 	DOperators Day = "operators"  // keys taken, weights named, storms of plans
+	DWalls     Day = "walls"      // groups walled off, opened, removed and made again
 	DNews      Day = "news"       // reports lost, hand-overs fail quietly
 	DAll       Day = "everything" // all of it at once
 )
 
 // Days lists them all.
-var Days = []Day{Calm, DProxies, DIndex, DControl, DEngines, DNetwork, DOperators, DNews, DAll}
+var Days = []Day{Calm, DProxies, DIndex, DControl, DEngines, DNetwork, DOperators, DWalls, DNews, DAll}
 
 // Result is what a day came to.
 type Result struct {
@@ -126,7 +127,7 @@
 	if day == DNetwork || day == DAll {
 		w.Loss, w.Dup = 10, 10
 	}
-	kinds := []Day{DProxies, DIndex, DControl, DEngines, DNetwork, DOperators}
+	kinds := []Day{DProxies, DIndex, DControl, DEngines, DNetwork, DOperators, DWalls}
 	var next func()
 	next = func() {
 		if w.now >= until {
@@ -223,6 +224,16 @@
 			w.Isolate(pickOne(w, w.hosts).Name)
 		}
 		w.At(w.now+200_000+w.Rng.Int63n(3_000_000), w.HealAll)
+	case DWalls:
+		g := pickOne(w, simGroups)
+		switch w.Rng.Intn(6) {
+		case 0:
+			s.Name()
+		case 1, 2:
+			s.Remove(g)
+		default:
+			s.Wall(g)
+		}
 	case DOperators:
 		switch w.Rng.Intn(4) {
 		case 0:
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -52,6 +52,7 @@
 	FirstUS                            int64 // summed over runs
 	Arrived, Retries, Attempts         uint64
 	PlanAcks, Revoked, Turned, Left    int
+	Walls                              int
 	WorstKey, WorstLeave, WorstTurn    int64
 }
 
@@ -384,6 +385,7 @@
 	from                    string // the attempt its pieces came from
 	ended                   bool
 	probe                   bool
+	why                     string
 }
 
 func (p *Proxy) start() {
@@ -462,7 +464,7 @@
 		return
 	}
 	p.refs++
-	t := desk.Ticket{Ref: p.refs, ID: s.id, Group: g, Kind: s.kind, Digest: s.digest, Due: now + dueUS, Prompt: prompt, Weights: c.Weights, Domain: c.Domain(g)}
+	t := desk.Ticket{Ref: p.refs, ID: s.id, Group: g, Kind: s.kind, Digest: s.digest, Due: now + dueUS, Prompt: prompt, Weights: c.Weights, Domain: c.Domain(g, c.Weights)}
 	t.Chain = cue.Chain(t.Domain, t.Weights, prompt)
 	for i := len(t.Chain) - 1; i >= 0 && len(t.Hints) < 4; i-- {
 		n, ok := p.table.Get(t.Chain[i])
@@ -593,5 +595,6 @@
 		f.W.Wrong("two ends", "%s/%s", s.group, s.id)
 	}
 	s.ended = true
+	s.why = why
 	f.judge.told(s, o, why)
 }
--- a/sim/judge.go
+++ b/sim/judge.go
@@ -27,19 +27,28 @@
 	leaving map[string]int64 // engine -> when it showed as leaving
 	weights string
 	weighAt int64
+	named   []naming
+	walled  map[string][]span         // group -> when it was walled off
+	gone    map[string][]span         // group -> when there was none of that name
 	runs    map[string]map[string]int // ticket -> attempt -> 1
 	done    map[string]int
 	lastOK  int64
 	onTold  func(*send, blotter.Outcome)
 }
 
+// naming is one naming of weights: when its plan was sent, and acknowledged.
+type naming struct {
+	name     string
+	sent, at int64
+}
+
 type ack struct {
 	at  int64
 	rev uint64
 }
 
 func newJudge(f *Fleet) *judge {
-	return &judge{f: f, taken: map[string]int64{}, leaving: map[string]int64{}, runs: map[string]map[string]int{}, done: map[string]int{}}
+	return &judge{f: f, taken: map[string]int64{}, leaving: map[string]int64{}, walled: map[string][]span{}, gone: map[string][]span{}, runs: map[string]map[string]int{}, done: map[string]int{}}
 }
 
 // inForce is the newest revision that must be in force everywhere by now.
@@ -99,9 +108,46 @@
 	}
 }
 
-func (j *judge) mixed(made, under string, r *run) {
-	if made != under {
-		j.f.W.Wrong("mixed cache", "%s/%s ran under %s on cache made under %s", r.s.group, r.s.id, under, made)
+// span is when something surely held: from the acknowledgement of the plan that
+// began it to the sending of the one that ended it.
+type span struct{ from, to int64 }
+
+const onAndOn = 1 << 60
+
+// between reports whether a span lies between the making of a part and its use,
+// with the time that a plan has to come into force.
+func (j *judge) between(ss []span, m made) bool {
+	for _, x := range ss {
+		if x.from > 0 && m.at < x.to && j.f.W.now > x.from+boundPlan {
+			return true
+		}
+	}
+	return false
+}
+
+// behind reports whether a group was surely walled off at a time.
+func (j *judge) behind(g string, at, since int64) bool {
+	for _, x := range j.walled[g] {
+		if x.from > 0 && x.from+since <= at && at < x.to {
+			return true
+		}
+	}
+	return false
+}
+
+// reused judges a run that goes on from a kept part, by who made it and by what
+// has been walled off, removed or named since, in true time.
+func (j *judge) reused(m made, r *run) {
+	w, g := j.f.W, r.s.group
+	switch {
+	case m.weights != r.a.Weights:
+		w.Wrong("older weights' cache", "%s/%s ran under %s on cache made under %s", g, r.s.id, r.a.Weights, m.weights)
+	case len(j.named) > 0 && j.weights == m.weights && m.at < j.named[len(j.named)-1].sent && w.now > j.weighAt+boundPlan:
+		w.Wrong("older weights' cache", "%s/%s ran on cache of %d, %s was named again at %d", g, r.s.id, m.at, m.weights, j.named[len(j.named)-1].sent)
+	case m.group != g && (j.between(j.walled[m.group], m) || j.between(j.walled[g], m)):
+		w.Wrong("wall crossed", "%s/%s ran on cache that %s made at %d; walls since: %v %v", g, r.s.id, m.group, m.at, j.walled[m.group], j.walled[g])
+	case m.group == g && j.between(j.gone[g], m) && (j.behind(g, m.at, 0) || j.behind(g, w.now, boundPlan)):
+		w.Wrong("wall crossed", "%s/%s ran on cache that another group of that name made at %d", g, r.s.id, m.at)
 	}
 }
 
@@ -183,6 +229,8 @@
 	f       *Fleet
 	op      *Host
 	keys    map[string]int // group -> number of its present key
+	open    map[string]bool
+	gone    map[string]bool
 	weights int
 	rev     uint64
 	busy    bool
@@ -191,7 +239,8 @@
 
 // NewScript puts a first plan in force and keeps operators at work.
 func NewScript(f *Fleet) *Script {
-	s := &Script{f: f, keys: map[string]int{}, weights: 1}
+	s := &Script{f: f, keys: map[string]int{}, open: map[string]bool{"desk": true, "east": true, "west": true}, gone: map[string]bool{}, weights: 1}
+	f.judge.walled["walled"] = []span{{1, onAndOn}}
 	s.op = f.W.NewHost("operator", "north", func() {})
 	s.op.Start()
 	return s
@@ -205,7 +254,10 @@
 		"tag":          {DueUS: 5_000_000, TypicalUS: 250_000, Once: true},
 	}, Notes: map[string]any{"n": s.n}}
 	for i, g := range simGroups {
-		p.Groups[g] = plan.Group{Share: float64(4 - i), Wall: g == "walled", Keys: []string{simKey(g, s.keys[g])}}
+		if s.gone[g] {
+			continue
+		}
+		p.Groups[g] = plan.Group{Share: float64(4 - i), Wall: !s.open[g], Keys: []string{simKey(g, s.keys[g])}}
 	}
 	b, _ := json.Marshal(p)
 	if _, fs := plan.Parse(b); len(fs) > 0 {
@@ -222,15 +274,15 @@
 	s.busy = true
 	b := s.plan()
 	var try func(i int)
+	again := func(i int) { s.op.After(50_000, func() { try(i + 1) }) }
 	try = func(i int) {
-		r := s.f.Core.Nodes[i%4]
-		Call(s.op, r.Host, settle.Op{Kind: settle.OpPut, Key: planKey, Val: b, Expect: settle.AnyRev}, 1_500_000,
-			func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) },
-			func(a settle.Answer) {
-				if a.Status != settle.Done {
-					s.op.After(50_000, func() { try(i + 1) })
-					return
-				}
+		s.ask(i, settle.Op{Kind: settle.OpGet, Key: planKey}, again, func(at settle.Answer) {
+			v, err := plan.Sealed(at.Val, b, at.Rev+1)
+			if err != nil {
+				s.f.W.Wrong("plan", "%v", err)
+				return
+			}
+			s.ask(i, settle.Op{Kind: settle.OpPut, Key: planKey, Val: v, Expect: at.Rev}, again, func(a settle.Answer) {
 				s.busy = false
 				s.f.judge.acks = append(s.f.judge.acks, ack{s.f.W.now, a.Rev})
 				s.f.Seen.PlanAcks++
@@ -241,11 +293,25 @@
 				if then != nil {
 					then()
 				}
-			}, func() { s.op.After(50_000, func() { try(i + 1) }) })
+			})
+		})
 	}
 	try(s.f.W.Rng.Intn(4))
 }
 
+// ask carries an operator's operation to a control node.
+func (s *Script) ask(i int, op settle.Op, no func(int), yes func(settle.Answer)) {
+	r := s.f.Core.Nodes[i%4]
+	Call(s.op, r.Host, op, 1_500_000, func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) },
+		func(a settle.Answer) {
+			if a.Status != settle.Done {
+				no(i)
+				return
+			}
+			yes(a)
+		}, func() { no(i) })
+}
+
 // TakeKey replaces a group's key; the old one must stop working.
 func (s *Script) TakeKey(g string) {
 	if s.busy {
@@ -260,14 +326,54 @@
 	})
 }
 
-// Name names new weights.
+// Wall walls a group off, or opens it.
+func (s *Script) Wall(g string) {
+	if s.busy || s.gone[g] {
+		return
+	}
+	s.open[g] = !s.open[g]
+	s.spell(s.f.judge.walled, g, !s.open[g])
+}
+
+// Remove takes a group out of the plan, or puts one of that name in again.
+func (s *Script) Remove(g string) {
+	if s.busy || g == "desk" { // one group stays
+		return
+	}
+	s.gone[g] = !s.gone[g]
+	s.spell(s.f.judge.gone, g, s.gone[g])
+}
+
+// spell puts the plan in force and tells the judge what began or ended with it.
+func (s *Script) spell(m map[string][]span, g string, begins bool) {
+	if n := len(m[g]); !begins && n > 0 {
+		m[g][n-1].to = s.f.W.now
+	}
+	if begins {
+		m[g] = append(m[g], span{0, onAndOn}) // from its acknowledgement on
+	}
+	s.Put(func() {
+		if n := len(m[g]); begins {
+			m[g][n-1].from = s.f.W.now
+		}
+		s.f.Seen.Walls++
+		s.f.W.Note("walls moved: %s, open %v, gone %v", g, s.open[g], s.gone[g])
+	})
+}
+
+// Name names new weights, and now and then those of before.
 func (s *Script) Name() {
 	if s.busy {
 		return
 	}
-	s.weights++
-	n := fmt.Sprint("w", s.weights)
+	if s.weights > 1 && s.f.W.Rng.Intn(3) == 0 {
+		s.weights--
+	} else {
+		s.weights++
+	}
+	n, sent := fmt.Sprint("w", s.weights), s.f.W.now
 	s.Put(func() {
+		s.f.judge.named = append(s.f.judge.named, naming{n, sent, s.f.W.now})
 		s.f.judge.weights, s.f.judge.weighAt = n, s.f.W.now
 		s.f.Seen.Turned++
 		s.f.W.Note("weights %s named", n)
--- a/tape/reel/desk.go
+++ b/tape/reel/desk.go
@@ -54,9 +54,9 @@
 }
 
 type planIn struct {
-	Rev uint64          `json:"rev"`
-	At  int64           `json:"at"`
-	Raw json.RawMessage `json:"plan,omitempty"`
+	Rev uint64 `json:"rev"`
+	At  int64  `json:"at"`
+	Raw string `json:"plan,omitempty"` // the register's value, seal and all
 }
 
 type noteIn struct {
@@ -77,7 +77,7 @@
 func (r *Desk) Plan(now int64, h *plan.Held) []desk.Act {
 	in := planIn{Rev: h.Rev, At: h.At}
 	if r.W != nil && r.planRev() != h.Rev {
-		in.Raw = h.Raw
+		in.Raw = string(h.Raw)
 	}
 	as := r.Desk.Plan(now, h.Plan, h.At)
 	r.W.Put(now, "plan", in, show(as))
@@ -152,7 +152,7 @@
 		}
 		h := &plan.Held{Rev: in.Rev, At: in.At, Plan: r.PlanHeld()}
 		if len(in.Raw) > 0 {
-			p, err := plan.Load(in.Raw, in.Rev)
+			p, err := plan.Load([]byte(in.Raw), in.Rev)
 			if err != nil {
 				return decided{}, err
 			}
--- a/tape/reel/keeper.go
+++ b/tape/reel/keeper.go
@@ -46,7 +46,7 @@
 func (r *Keeper) Plan(now int64, h *plan.Held) {
 	in := planIn{Rev: h.Rev, At: h.At}
 	if r.W != nil && r.Keeper.PlanRev() != h.Rev {
-		in.Raw = h.Raw
+		in.Raw = string(h.Raw)
 	}
 	r.Keeper.Plan(h.Plan, h.At)
 	r.W.Put(now, "plan", in, nil)
@@ -127,7 +127,7 @@
 		}
 		h := &plan.Held{Rev: in.Rev, At: in.At, Plan: r.PlanHeld()}
 		if len(in.Raw) > 0 {
-			p, err := plan.Load(in.Raw, in.Rev)
+			p, err := plan.Load([]byte(in.Raw), in.Rev)
 			if err != nil {
 				return nil, err
 			}
--- a/tape/tape.go
+++ b/tape/tape.go
@@ -16,7 +16,7 @@
 
 // Version is the format and the rules it replays under. A tape of another
 // version is refused, since other rules may decide otherwise.
-const Version = 1
+const Version = 2
 
 // Head is a tape's first line.
 type Head struct {
