--- a/sim/day.go
+++ b/sim/day.go
@@ -102,9 +102,13 @@
 		key-- // a caller that still uses the key that was taken
 	}
 	era := max(1, f.callerEra)
+	pace := int64(0)
+	if w.Rng.Intn(12) == 0 {
+		pace = 200_000 + w.Rng.Int63n(900_000) // a long answer: much happens while it runs
+	}
 	for i := 0; i < n; i++ {
 		p := f.Proxies[w.Rng.Intn(len(f.Proxies))]
-		x := &send{group: g, kind: kind, id: fmt.Sprint("t", f.sent), digest: simKey(g, key), proxy: p, era: era}
+		x := &send{group: g, kind: kind, id: fmt.Sprint("t", f.sent), digest: simKey(g, key), proxy: p, era: era, pace: pace}
 		after := int64(i) * w.Rng.Int63n(3_000_000)
 		if i > 0 && w.Rng.Intn(4) == 0 {
 			after += w.Rng.Int63n(20_000_000) // a resend long after
--- a/sim/engines.go
+++ b/sim/engines.go
@@ -309,7 +309,7 @@
 				r.p.out(r, n)
 			}
 		})
-		e.After(int64(20_000+e.f.W.Rng.Intn(60_000)), func() { e.step(r) })
+		e.After(int64(20_000+e.f.W.Rng.Intn(60_000))+r.s.pace, func() { e.step(r) })
 		return
 	}
 	r.stop()
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -389,6 +389,7 @@
 	probe                   bool
 	why                     string
 	era                     uint64
+	pace                    int64 // how much longer each of its pieces takes
 }
 
 func (p *Proxy) start() {
@@ -468,6 +469,7 @@
 		return
 	}
 	p.refs++
+	s.due = f.W.now + dueUS // it counts from arrival
 	t := desk.Ticket{Ref: p.refs, ID: s.id, Own: true, Era: s.era, Group: g, Kind: s.kind, Digest: s.digest, Due: now + dueUS, Prompt: prompt, Weights: c.Weights, Domain: c.Domain(g, c.Weights)}
 	t.Chain = cue.Chain(t.Domain, t.Weights, prompt)
 	for i := len(t.Chain) - 1; i >= 0 && len(t.Hints) < 4; i-- {
