Calls to app back ends spend a retry budget too

Cause: a safe call that broke was always sent again once, so a struggling back end got twice the calls. Ruled out: the library's own resend (it has no reader to rewind).

--- a/internal/app/remisier/call.go
+++ b/internal/app/remisier/call.go
@@ -409,13 +409,17 @@
 			return
 		}
 	}
+	r.mu.Lock()
+	r.spare.Permille = p.Limits.RetryPermille
+	r.spare.Earn()
+	r.mu.Unlock()
 	for try := 0; ; try++ {
 		s, sent, err := r.plainOnce(ctx, q, e, body)
 		switch {
 		case err == nil:
 			r.passOn(w, s)
 			return
-		case (safe || !sent) && try == 0 && ctx.Err() == nil:
+		case (safe || !sent) && try == 0 && ctx.Err() == nil && r.spend():
 			continue
 		case sent:
 			base.JSON(w, http.StatusBadGateway, callerapi.Frame{Frame: "unknown", Reason: "backend-lost", Remedy: callerapi.Remedy("backend-lost")})
@@ -427,6 +431,17 @@
 	}
 }
 
+// spend takes a retry out of the budget of calls to back ends, if there is one.
+func (r *remisier) spend() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.spare.Has() {
+		return false
+	}
+	r.spare.Spend()
+	return true
+}
+
 func (r *remisier) claimPlain(ctx context.Context, era uint64, group, id string) string {
 	done := make(chan string, 1)
 	a := desk.Act{Claim: desk.ClaimKey(era, group, "plain:"+id), Nonce: fmt.Sprintf("%s/%x/p%d", r.s.Name, r.inc, r.refs.Add(1))}
--- a/internal/app/remisier/remisier.go
+++ b/internal/app/remisier/remisier.go
@@ -60,6 +60,7 @@
 	plain  atomic.Int64 // plain calls under way
 	newsAt wire.Cursor
 	claims lats
+	spare  blotter.Budget // for calls to app back ends; under mu
 }
 
 // lats sums how long something took.
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -353,6 +353,16 @@
 		if _, out := r.get(r.backend + "/seen"); !strings.Contains(out, `"POST /app/orders order-1":1`) {
 			t.Fatalf("the back end saw %s", out)
 		}
+		// A back end that breaks every call off gets a tenth more of them, not twice as many.
+		for i := 0; i < 60; i++ {
+			if st, out := r.send("GET", r.proxies[0]+"/app/breaks", "k-desk", nil, ""); st != 502 || !strings.Contains(out, "backend-lost") {
+				t.Fatalf("%d %s", st, out)
+			}
+		}
+		var seen map[string]int
+		if _, out := r.get(r.backend + "/seen"); json.Unmarshal([]byte(out), &seen) != nil || seen["GET /app/breaks "] < 60 || seen["GET /app/breaks "] > 66 {
+			t.Errorf("60 calls reached a struggling back end as %d", seen["GET /app/breaks "])
+		}
 		if st, _ := r.send("GET", r.proxies[0]+"/elsewhere", "k-desk", nil, ""); st != 404 {
 			t.Fatalf("no entry: %d", st)
 		}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 
 	"violetthread/internal/base"
@@ -41,6 +42,9 @@
 		mu.Lock()
 		calls[fmt.Sprintf("%s %s %s", q.Method, q.URL.Path, q.Header.Get("X-Ticket-Id"))]++
 		mu.Unlock()
+		if strings.HasSuffix(q.URL.Path, "/breaks") {
+			panic(http.ErrAbortHandler) // a back end that struggles: it breaks off
+		}
 		base.JSON(w, 200, map[string]any{"method": q.Method, "path": q.URL.Path, "bytes": len(b)})
 	})
 	d.SetReady("")
