--- a/sim/engines.go
+++ b/sim/engines.go
@@ -24,8 +24,10 @@
 	epoch   uint64
 	runs    map[string]*run
 	seen    []int64 // when runs began
+	knocks  []int64 // when runs came, begun or refused
 	room    int
 	most    int
+	breaks  bool   // it breaks every run off
 	stuck   bool   // it does not change its weights
 	slow    int64  // how much longer it takes to load others
 	there   int64  // when it last could not be told anything
@@ -224,6 +226,7 @@
 	if r.gone || r.heard || r.life != e.life {
 		return
 	}
+	e.knocks = append(e.knocks, e.f.W.now)
 	r.heard = true // a wire does not repeat what it carries
 	why := ""
 	switch {
@@ -245,6 +248,13 @@
 	e.runs[a.Attempt] = r
 	e.f.judge.ran(e, r)
 	e.seen = append(e.seen, e.f.W.now)
+	if e.breaks {
+		e.After(5_000, func() {
+			r.stop()
+			r.broke()
+		})
+		return
+	}
 	fresh := made{r.s.group, a.Weights, e.f.W.now}
 	reused := fresh
 	have := 0
--- /dev/null
+++ b/sim/retries_test.go
@@ -0,0 +1,89 @@
+package sim
+
+import (
+	"testing"
+
+	"violetthread/blotter"
+)
+
+// TestRetriesFleetWide: nine proxies, one engine that breaks every run off, callers
+// that resend what failed. Over the whole fleet attempts stay within a tenth above
+// the tickets, the struggling engine gets less than its part of them, and when it is
+// well again, or back from a crash, it is not run down.
+func TestRetriesFleetWide(t *testing.T) {
+	for _, bad := range []string{"breaks off", "refuses", "crashes"} {
+		t.Run(bad, func(t *testing.T) {
+			t.Parallel()
+			f := NewFleet(21, FleetSize{Proxies: 9, Engines: 6})
+			s := NewScript(f)
+			w := f.W
+			e := f.engine("e03")
+			resent := 0
+			f.judge.onTold = func(x *send, o blotter.Outcome) {
+				if o != blotter.Done && !x.probe && x.why != "duplicate" && w.now < 24_000_000 {
+					// A caller that sends again at once, elsewhere, under the same name.
+					resent++
+					y := &send{group: x.group, kind: x.kind, id: x.id, digest: x.digest, era: x.era, probe: true}
+					y.proxy = f.Proxies[w.Rng.Intn(len(f.Proxies))]
+					f.Seen.Sent++
+					y.proxy.After(1_000, func() { y.proxy.arrive(y, "again", 5_000_000) })
+				}
+			}
+			w.At(1_300_000, func() { s.Put(nil) })
+			w.At(2_500_000, func() {
+				for i := 0; i < 8; i++ { // some 300 tickets a second
+					f.call(s, 30_000_000)
+				}
+			})
+			count := func(from, to int64) (mine, all int) {
+				for _, x := range f.Engines {
+					for _, at := range x.knocks {
+						if at >= from && at < to {
+							all++
+							if x == e {
+								mine++
+							}
+						}
+					}
+				}
+				return mine, all
+			}
+			w.At(8_000_000, func() {
+				switch bad {
+				case "breaks off":
+					e.breaks = true
+				case "refuses":
+					e.room = 0
+				default:
+					e.Kill()
+				}
+			})
+			w.At(16_000_000, func() {
+				e.breaks, e.room = false, 12
+				e.Start()
+			})
+			w.Run(34_000_000)
+			if len(w.wrong) > 0 {
+				t.Fatal(w.wrong)
+			}
+			var arrived, retries, attempts uint64
+			for _, p := range f.Proxies {
+				c := p.d.Counts
+				arrived, retries, attempts = arrived+c.Arrived, retries+c.Retries, attempts+c.Attempts
+			}
+			while, all := count(9_000_000, 16_000_000)
+			first, then := count(16_000_000, 18_000_000)
+			t.Logf("%d tickets (%d of them resent), %d attempts, %d of them retries; the struggling engine got %d of %d attempts; %d of %d in the 2 s after",
+				arrived, resent, attempts, retries, while, all, first, then)
+			if retries*10 > arrived || retries == 0 && bad != "crashes" || attempts > arrived+arrived/10 {
+				t.Errorf("%d retries and %d attempts for %d tickets", retries, attempts, arrived)
+			}
+			if while*6 > all {
+				t.Errorf("the struggling engine got %d of %d runs, a sixth is its part", while, all)
+			}
+			if first*3 > then || first == 0 {
+				t.Errorf("%d of %d attempts came to it in the 2 s after it was well, a sixth is its part", first, then)
+			}
+		})
+	}
+}
