--- a/internal/standin/callers/callers.go
+++ b/internal/standin/callers/callers.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -24,11 +23,11 @@
 	"github.com/samber/lo"
 
 	"violetthread/internal/base"
-	"violetthread/internal/callerapi"
 	"violetthread/internal/clock"
 	"violetthread/internal/crew"
 	"violetthread/internal/engineapi"
 	"violetthread/internal/standin/engine"
+	"violetthread/useragent"
 )
 
 // Settings of a load.
@@ -169,14 +168,23 @@
 	return l.era
 }
 
+// agent is the generated client, for one proxy.
+func (l *load) agent(proxy, key string) (*useragent.Client, error) {
+	return useragent.NewClient("http://"+proxy, useragent.WithHTTPClient(l.http), useragent.WithKey(key))
+}
+
 // ask learns the era from the first proxy that tells.
 func (l *load) ask() {
 	for _, p := range l.s.Proxies {
-		q, err := l.http.Get("http://" + p + "/v1/era")
+		ua, err := l.agent(p, "")
+		if err != nil {
+			continue
+		}
+		q, err := ua.AskEra(context.Background())
 		if err != nil {
 			continue
 		}
-		var e callerapi.Era
+		var e useragent.Era
 		err = json.NewDecoder(q.Body).Decode(&e)
 		_ = q.Body.Close()
 		if err == nil && e.Era > 0 {
@@ -225,14 +233,12 @@
 func (l *load) call(ctx context.Context, t *Told, prompt string, began int64) {
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(t.DueUS+10_000_000))
 	defer stop()
-	b, _ := json.Marshal(callerapi.Ticket{Kind: t.Kind, ID: t.ID, Era: t.Era, DueUS: t.DueUS, Prompt: prompt})
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Proxy+"/v1/tickets", bytes.NewReader(b))
+	ua, err := l.agent(t.Proxy, Key(t.Group))
 	if err != nil {
 		t.Broken = err.Error()
 		return
 	}
-	q.Header.Set("Authorization", "Bearer "+Key(t.Group))
-	r, err := l.http.Do(q)
+	r, err := ua.SendTicket(ctx, useragent.Ticket{Kind: t.Kind, Id: &t.ID, Era: &t.Era, DueUs: &t.DueUS, Prompt: prompt})
 	if err != nil {
 		t.Reason = "unreachable"
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -244,19 +250,19 @@
 	t.Status = r.StatusCode
 	if r.StatusCode != http.StatusOK {
 		x, _ := io.ReadAll(io.LimitReader(r.Body, 1<<16))
-		var f callerapi.Frame
-		if json.Unmarshal(x, &f) != nil || f.Frame == "" || f.Remedy == "" {
+		var f useragent.Frame
+		if json.Unmarshal(x, &f) != nil || f.Frame == "" || lo.FromPtr(f.Remedy) == "" {
 			t.Broken = fmt.Sprintf("status %d without a typed reason: %.100s", r.StatusCode, x)
 		}
-		t.Outcome, t.Reason = f.Frame, f.Reason
-		l.newest(f.Era)
+		t.Outcome, t.Reason = f.Frame, lo.FromPtr(f.Reason)
+		l.newest(lo.FromPtr(f.Era))
 		return
 	}
 	sc := bufio.NewScanner(r.Body)
 	sc.Buffer(nil, 1<<20)
 	run, n := "", 0
 	for sc.Scan() {
-		var f callerapi.Frame
+		var f useragent.Frame
 		if err := json.Unmarshal(sc.Bytes(), &f); err != nil {
 			t.Broken = "no JSON: " + sc.Text()
 			return
@@ -267,7 +273,7 @@
 		}
 		switch f.Frame {
 		case "accepted":
-			l.newest(f.Era)
+			l.newest(lo.FromPtr(f.Era))
 		case "piece":
 			if n == 0 {
 				t.FirstUS = clock.Now() - began
@@ -276,8 +282,8 @@
 			if run == "" {
 				run = a
 			}
-			if a != run || i != fmt.Sprint(n) || f.N != n {
-				t.Broken = fmt.Sprintf("stitched: piece %d of %s after %d of %s", f.N, lo.FromPtr(f.Text), n, run)
+			if a != run || i != fmt.Sprint(n) || lo.FromPtr(f.N) != n {
+				t.Broken = fmt.Sprintf("stitched: piece %d of %s after %d of %s", lo.FromPtr(f.N), lo.FromPtr(f.Text), n, run)
 			}
 			n++
 			if t.Hangup {
@@ -289,12 +295,12 @@
 				t.Broken = "frame of no known kind: " + f.Frame
 				return
 			}
-			t.Outcome, t.Reason = f.Frame, f.Reason
+			t.Outcome, t.Reason = f.Frame, lo.FromPtr(f.Reason)
 			if f.Frame == "done" && (f.Pieces == nil || *f.Pieces != n || n != engine.Pieces[t.Kind]) {
 				t.Broken = fmt.Sprintf("done after %d pieces", n)
 			}
-			if f.Frame != "done" && f.Remedy == "" {
-				t.Broken = "no remedy with " + f.Reason
+			if f.Frame != "done" && lo.FromPtr(f.Remedy) == "" {
+				t.Broken = "no remedy with " + t.Reason
 			}
 		}
 	}
