--- a/sim/core.go
+++ b/sim/core.go
@@ -16,6 +16,7 @@
 	Nodes    []*Registrar
 	rings    depository.Plan
 	era      int64                 // how long an era of claims is the newest
+	onNew    func(*Registrar)      // what a fleet adds to a machine
 	drop     func(settle.Msg) bool // messages that get lost, for directed days
 	stepping bool                  // an operator is changing the roster
 	Steps    int                   // how often that was done
@@ -75,6 +76,9 @@
 	r := &Registrar{core: c, Disk: NewDisk(c.w), inc: uint64(100 + i)}
 	r.Host = c.w.NewHost(fmt.Sprint("registrar", i), sites[i%len(sites)], r.start)
 	c.Nodes = append(c.Nodes, r)
+	if c.onNew != nil {
+		c.onNew(r)
+	}
 	return r
 }
 
--- a/sim/day.go
+++ b/sim/day.go
@@ -18,13 +18,14 @@
 	DNetwork   Day = "network"    // cuts, isolated machines, lost and repeated messages
 	DOperators Day = "operators"  // keys taken, weights named, storms of plans
 	DWalls     Day = "walls"      // groups walled off, opened, removed and made again
+	DRoster    Day = "roster"     // core machines lost for good with both programs, others put in their place
 	DWeights   Day = "weights"    // named again and again, engines that refuse, are slow, die half turned
 	DNews      Day = "news"       // reports lost, hand-overs fail quietly
 	DAll       Day = "everything" // all of it at once
 )
 
 // Days lists them all.
-var Days = []Day{Calm, DProxies, DIndex, DControl, DEngines, DNetwork, DOperators, DWalls, DWeights, DNews, DAll}
+var Days = []Day{Calm, DProxies, DIndex, DControl, DEngines, DNetwork, DOperators, DWalls, DRoster, DWeights, DNews, DAll}
 
 // Result is what a day came to.
 type Result struct {
@@ -137,7 +138,7 @@
 	if day == DNetwork || day == DAll {
 		w.Loss, w.Dup = 10, 10
 	}
-	kinds := []Day{DProxies, DIndex, DControl, DEngines, DNetwork, DOperators, DWalls, DWeights}
+	kinds := []Day{DProxies, DIndex, DControl, DEngines, DNetwork, DOperators, DWalls, DRoster, DWeights}
 	var next func()
 	next = func() {
 		if w.now >= until {
@@ -253,6 +254,17 @@
 			c.Kill()
 			w.At(w.now+100_000+w.Rng.Int63n(3_000_000), c.Start)
 		}
+	case DRoster:
+		n := len(f.Core.Nodes)
+		f.Core.replace()
+		if len(f.Core.Nodes) > n && w.Rng.Intn(2) == 0 {
+			// The machine's other program goes with it, and starts on the new one.
+			c := pickOne(w, f.Custodians)
+			c.Kill()
+			w.At(w.now+1_000_000+w.Rng.Int63n(3_000_000), c.Start)
+		} else if w.Rng.Intn(3) == 0 {
+			f.strike(DControl, s)
+		}
 	case DWalls:
 		g := pickOne(w, simGroups)
 		switch w.Rng.Intn(6) {
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -81,6 +81,7 @@
 	for _, r := range f.Core.Nodes {
 		f.besides(r)
 	}
+	f.Core.onNew = f.besides
 	f.Core.Start()
 	for i := 0; i < z.Engines; i++ {
 		e := newEngine(f, fmt.Sprintf("e%02d", i), sites[i%len(sites)], false)
@@ -143,8 +144,11 @@
 		})
 		r.Every(300_000, func() {
 			t := s.roll.Tell(r.Clock())
+			if r.node == nil {
+				return // in no roster yet
+			}
 			for _, o := range f.Core.Nodes {
-				if o != r {
+				if _, in := r.node.Roster().Find(o.Name); in && o != r {
 					r.Send(o.Host, func() {
 						if x := f.side[o]; x != nil {
 							x.roll.Hear(o.Clock(), t)
@@ -160,14 +164,20 @@
 type member struct {
 	held  plan.Held
 	nodes []*fb.NodeT
-	cur   int
+	cur   int // of known
+	known []*Registrar
 	era   uint64
 }
 
 func (f *Fleet) beat(h *Host, m *member, self func() *fb.NodeT, got func()) {
-	m.cur = f.W.Rng.Intn(4)
+	// Three seeds, whatever has become of them since; every answer tells the voters.
+	first := f.W.Rng.Intn(4)
+	seeds := []*Registrar{f.Core.Nodes[first], f.Core.Nodes[(first+1)%4], f.Core.Nodes[(first+2)%4]}
+	if m.known == nil {
+		m.known = seeds
+	}
 	h.Every(150_000, func() {
-		r := f.Core.Nodes[m.cur]
+		r := m.known[m.cur%len(m.known)]
 		at := h.Clock()
 		Call(h, r.Host, &fb.BeatAskT{Node: self(), Have: m.held.Rev}, 600_000, func(q *fb.BeatAskT, rep func(*fb.BeatTellT)) {
 			s := f.side[r]
@@ -180,24 +190,41 @@
 			if t.Rev != q.Have {
 				t.Plan = s.held.Raw
 			}
+			for _, v := range r.node.Roster().Voters {
+				t.Registrars = append(t.Registrars, v.Name)
+			}
 			rep(t)
 		}, func(t *fb.BeatTellT) {
 			m.nodes, m.era = t.Nodes, max(m.era, t.Era)
+			var known []*Registrar
+			for _, o := range f.Core.Nodes {
+				if slices.Contains(t.Registrars, o.Name) {
+					known = append(known, o)
+				}
+			}
+			for i, o := range known {
+				if o == r {
+					m.cur = i
+				}
+			}
+			if len(known) > 0 {
+				m.known = known
+			}
 			m.held, _, _ = m.held.Take(plan.Word{Rev: t.Rev, Age: t.Age, Raw: t.Plan, Fresh: t.Fresh}, at)
 			if got != nil {
 				got()
 			}
-		}, func() { m.cur = (m.cur + 1) % 4 })
+		}, func() { m.cur++ })
 	})
 }
 
 // op carries an operation through registrars until one answers for the owner.
-func (f *Fleet) op(h *Host, at int, op settle.Op, left int64, end func(settle.Answer, bool)) {
-	r := f.Core.Nodes[at%4]
+func (f *Fleet) op(h *Host, m *member, at int, op settle.Op, left int64, end func(settle.Answer, bool)) {
+	r := m.known[at%len(m.known)]
 	t0 := f.W.now
 	next := func() {
 		if l := left - (f.W.now - t0); l > 30_000 && op.Kind != settle.OpPut {
-			h.After(20_000, func() { f.op(h, at+1, op, l-20_000, end) })
+			h.After(20_000, func() { f.op(h, m, at+1, op, l-20_000, end) })
 		} else {
 			end(settle.Answer{}, false)
 		}
@@ -254,7 +281,7 @@
 			if a.Free {
 				op.Kind = settle.OpFree
 			}
-			f.op(c.Host, w.Rng.Intn(4), op, 1_000_000, func(ans settle.Answer, ok bool) {
+			f.op(c.Host, &c.m, w.Rng.Intn(4), op, 1_000_000, func(ans settle.Answer, ok bool) {
 				k.Held(c.Clock(), a, now, ok && ans.Status == settle.Done, ans.Rev)
 			})
 		}
@@ -543,7 +570,7 @@
 func (p *Proxy) claim(a desk.Act, op settle.Op) {
 	r := p.runner
 	Call(p.Host, r.Host, op, 2_000_000, func(q settle.Op, rep func(settle.Answer)) {
-		p.f.op(r.Host, r.m.cur, q, 1_900_000, func(ans settle.Answer, ok bool) {
+		p.f.op(r.Host, &r.m, r.m.cur, q, 1_900_000, func(ans settle.Answer, ok bool) {
 			if !ok {
 				ans.Status = settle.Unknown
 			}
--- a/sim/judge.go
+++ b/sim/judge.go
@@ -332,7 +332,7 @@
 
 // ask carries an operator's operation to a control node.
 func (s *Script) ask(i int, op settle.Op, no func(int), yes func(settle.Answer)) {
-	r := s.f.Core.Nodes[i%4]
+	r := s.f.Core.Nodes[i%len(s.f.Core.Nodes)] // an operator tries all that ever were
 	Call(s.op, r.Host, op, 1_500_000, func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) },
 		func(a settle.Answer) {
 			if a.Status != settle.Done {
