dealer shows engines, shards, proxies and roll-outs, and prints tapes

Tried on a local fleet: 18 engines and the store with owners and epochs, 16 shards, nine proxies with the age of their plan; a tape of 1,022 events printed and replayed alike.

--- a/cmd/dealer/main.go
+++ b/cmd/dealer/main.go
@@ -26,6 +26,7 @@
 	wait               int
 	nodes              string
 	old, addr          string
+	json, follow, all  bool
 	http               *http.Client
 }
 
@@ -61,6 +62,24 @@
 	wait.Int(&t.wait, "t", "seconds", "give up after this long")
 	replay := sub("replay", "feed a tape to the same code; fails at the first decision that differs")
 	replay.AddPositionalValue(&t.file, "TAPE", 1, true, "a file that a remisier or custodian wrote with --tape")
+	views := map[*flaggy.Subcommand]func() ([]string, []row, error){}
+	for _, v := range []struct {
+		name, about string
+		f           func() ([]string, []row, error)
+	}{{"engines", "list engines: owner, epoch, weights, room, what was learnt of links", t.engines},
+		{"shards", "list who holds the shards of the index", t.shards},
+		{"proxies", "list proxies: how fresh their plan is, and their counts", t.proxies},
+		{"rollout", "tell how far the weights that the plan names have come", t.rollout}} {
+		c := sub(v.name, v.about)
+		c.Bool(&t.json, "j", "json", "print JSON for programs")
+		views[c] = v.f
+		p.AttachSubcommand(c, 1)
+	}
+	tp := sub("tape", "print a tape's decisions for people")
+	tp.AddPositionalValue(&t.file, "TAPE", 1, true, "a file that a remisier or custodian wrote with --tape")
+	tp.Bool(&t.follow, "f", "follow", "go on with what is appended")
+	tp.Bool(&t.all, "A", "all", "also events that nothing was decided on")
+	p.AttachSubcommand(tp, 1)
 	for _, c := range []*flaggy.Subcommand{fleet, digest, wait, replay} {
 		p.AttachSubcommand(c, 1)
 	}
@@ -68,7 +87,17 @@
 		base.Exit("dealer", err)
 	}
 	var err error
+	for c, f := range views {
+		if c.Used {
+			if err := t.show(f()); err != nil {
+				base.Exit("dealer", err)
+			}
+			return
+		}
+	}
 	switch {
+	case tp.Used:
+		err = t.tape()
 	case get.Used:
 		err = t.get("/v1/plan")
 	case put.Used:
