--- a/desk/desk.go
+++ b/desk/desk.go
@@ -800,3 +800,11 @@
 
 // Load counts the tickets under way.
 func (d *Desk) Load() int { return len(d.tickets) }
+
+// OrderAge is how old the order for an engine is, for operators and judges.
+func (d *Desk) OrderAge(now int64, engine string) int64 {
+	if l := d.lanes[engine]; l != nil {
+		return now - l.at
+	}
+	return 1 << 50
+}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -245,17 +245,19 @@
 	f *Fleet
 	m member
 	k *custody.Keeper
+	// leaving: it was stopped politely, gives its duties back and then ends.
+	leaving bool
 }
 
 func (c *Custodian) start() {
 	f, w := c.f, c.f.W
-	c.m = member{}
+	c.m, c.leaving = member{}, false
 	inc := uint64(w.Rng.Int63()) >> 24
 	c.k = custody.New(c.Name, c.Site, inc)
 	holder := fmt.Sprintf("%s#%x", c.Name, inc)
 	k := c.k
 	f.beat(c.Host, &c.m, func() *fb.NodeT {
-		return &fb.NodeT{Name: c.Name, Role: "custodian", Site: c.Site, Addr: c.Name, Inc: inc, Ready: true, Duties: k.Duties(c.Clock())}
+		return &fb.NodeT{Name: c.Name, Role: "custodian", Site: c.Site, Addr: c.Name, Inc: inc, Ready: !c.leaving, Duties: k.Duties(c.Clock())}
 	}, nil)
 	c.Every(200_000, func() {
 		at := c.Clock()
@@ -272,10 +274,15 @@
 			k.Plan(c.m.held.Plan, c.m.held.At)
 		}
 		cs, me := wire.Custodians(c.m.nodes, c.Name)
-		if !me {
+		if !me && !c.leaving {
 			return
 		}
-		k.Peers(cs)
+		if k.Peers(cs); c.leaving {
+			if k.Peers(nil); k.Idle() {
+				c.Kill()
+				return
+			}
+		}
 		for _, a := range k.Want(now) {
 			op := settle.Op{Kind: settle.OpHold, Key: a.Key, Expect: a.Epoch, Holder: holder, Term: custody.DutyTerm}
 			if a.Free {
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -92,3 +92,32 @@
 		t.Fatal("what was learnt made no difference")
 	}
 }
+
+// TestCutOffProxyEndsStreams: a proxy that hears nothing of the core any more ends
+// what runs before a key that was taken meanwhile has worked for five seconds.
+func TestCutOffProxyEndsStreams(t *testing.T) {
+	f := NewFleet(8, small)
+	s := NewScript(f)
+	w := f.W
+	w.At(1_300_000, func() { s.Put(nil) })
+	began := 0
+	w.At(5_000_000, func() {
+		p := f.Proxies[0]
+		for i := 0; i < 6; i++ {
+			x := &send{group: "desk", kind: "check", id: string(rune('a' + i)), digest: simKey("desk", 0), proxy: p, pace: 1_500_000}
+			p.After(int64(300+i*100), func() { p.arrive(x, "long", 8_000_000) })
+		}
+	})
+	w.At(5_400_000, func() {
+		began = f.Seen.Runs
+		w.Isolate(f.Runners[0].Name) // the agent is cut off; caller, proxy and engines are not
+		s.TakeKey("desk")
+	})
+	w.Run(16_000_000)
+	if len(w.wrong) > 0 {
+		t.Fatal(w.wrong)
+	}
+	if began < 6 || f.Seen.Revoked != 1 || f.Seen.Unknown < 6 {
+		t.Fatalf("%d ran; %+v", began, f.Seen)
+	}
+}
--- /dev/null
+++ b/sim/move_test.go
@@ -0,0 +1,108 @@
+package sim
+
+import (
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"violetthread/custody"
+	"violetthread/desk"
+)
+
+// TestMoveCost: what it costs when an index node's duties move, because it died or
+// was stopped politely: how long duties have no owner, how long engines are out of
+// use at proxies, and what is read and told anew. VT_SEEDS runs more seeds.
+func TestMoveCost(t *testing.T) {
+	n, _ := strconv.ParseInt(os.Getenv("VT_SEEDS"), 10, 64)
+	for _, polite := range []bool{false, true} {
+		var orphan, out, settled []int64
+		moved, resyncs, failed, sent := 0, uint64(0), 0, 0
+		for seed := int64(1); seed <= max(n, 2); seed++ {
+			f := NewFleet(seed, FleetSize{Proxies: 9, Engines: 18})
+			s := NewScript(f)
+			w := f.W
+			w.At(1_300_000, func() { s.Put(nil) })
+			w.At(2_500_000, func() { f.call(s, 16_000_000) })
+			w.Run(8_000_000)
+			c := f.busiest("duty/engine/")
+			moved += len(c.k.Duties(c.Clock()))
+			was := uint64(0)
+			for _, x := range f.Custodians {
+				was += x.k.Counts.Resyncs
+			}
+			lone, last := map[string]int64{}, int64(0) // duty -> how long nobody held it
+			idle := int64(0)                           // engine-microseconds out of use, over proxies
+			const step = 10_000
+			if polite {
+				c.leaving = true
+			} else {
+				c.Kill()
+			}
+			from := f.Seen
+			for w.now < 16_000_000 && len(w.wrong) == 0 {
+				w.Run(w.now + step)
+				held := map[string]bool{}
+				for _, x := range f.Custodians {
+					if x.up {
+						for _, d := range x.k.Duties(x.Clock()) {
+							held[d] = true
+						}
+					}
+				}
+				all := true
+				for _, e := range f.Engines {
+					if d := custody.EngineDuty(e.Name); !held[d] {
+						lone[d] += step
+						all = false
+					}
+				}
+				for i := 0; i < custody.Shards; i++ {
+					if d := custody.ShardDuty(i); !held[d] {
+						lone[d] += step
+						all = false
+					}
+				}
+				if !all {
+					last = w.now - 8_000_000
+				}
+				for _, p := range f.Proxies {
+					for _, e := range f.Engines {
+						if !e.store && p.d.OrderAge(p.Clock(), e.Name) > desk.OrderLimit {
+							idle += step
+						}
+					}
+				}
+			}
+			if len(w.wrong) > 0 {
+				t.Fatalf("seed %d: %v", seed, w.wrong)
+			}
+			for _, us := range lone {
+				orphan = append(orphan, us)
+			}
+			if len(lone) == 0 {
+				orphan = append(orphan, 0)
+			}
+			settled = append(settled, last)
+			out = append(out, idle/9)
+			for _, x := range f.Custodians {
+				if x != c {
+					resyncs += x.k.Counts.Resyncs
+				}
+			}
+			resyncs -= min(resyncs, was-c.k.Counts.Resyncs)
+			failed += f.Seen.Refused - from.Refused
+			sent += f.Seen.Sent - from.Sent
+			if last > 5_000_000 {
+				t.Errorf("seed %d: a duty had no owner after %d us", seed, last)
+			}
+		}
+		slices.Sort(orphan)
+		slices.Sort(out)
+		slices.Sort(settled)
+		mid := func(x []int64) float64 { return float64(x[len(x)/2]) / 1e6 }
+		top := func(x []int64) float64 { return float64(x[len(x)-1]) / 1e6 }
+		t.Logf("| polite %v | %d duties moved | without an owner, each: %.2f s, %.2f s at worst | all have one after %.2f s, %.2f s | engines out of use: %.1f, %.1f engine-seconds at a proxy | %d keeps read whole | %d of %d tickets refused |",
+			polite, moved, mid(orphan), top(orphan), mid(settled), top(settled), mid(out), top(out), resyncs, failed, sent)
+	}
+}
