--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -121,3 +121,29 @@
 		t.Fatalf("%d ran; %+v", began, f.Seen)
 	}
 }
+
+// TestPlatformOutOfReach: nobody can see that an engine leaves, since the platform is
+// silent; it gets nothing new all the same, and service is back with the platform.
+func TestPlatformOutOfReach(t *testing.T) {
+	f := NewFleet(12, small)
+	s := NewScript(f)
+	w := f.W
+	w.At(1_300_000, func() { s.Put(nil) })
+	w.At(2_500_000, func() { f.call(s, 20_000_000) })
+	w.At(5_000_000, func() {
+		w.Isolate("platform")
+		for _, e := range []string{"e00", "e01", "e02"} {
+			s.Leave(e, 8_000_000)
+		}
+	})
+	w.At(12_000_000, w.HealAll)
+	w.Run(12_500_000)
+	was := f.Seen.Done
+	w.Run(20_000_000)
+	if len(w.wrong) > 0 {
+		t.Fatal(w.wrong)
+	}
+	if f.Seen.Left != 3 || f.Seen.Done-was < 100 {
+		t.Fatalf("%d done after it was back; %+v", f.Seen.Done-was, f.Seen)
+	}
+}
