Disks that stall, fail and fill up under serving registrars, on real programs

The ring's folder can be wrapped (a port of the registrar, without flag or setting). The plan's owner with a stalled disk goes on through the majority of the others, leaves when its disk fails, and what was acknowledged is read back from all that are left; with a second disk full the majority is lost and nothing is acknowledged.

--- a/internal/app/registrar/registrar.go
+++ b/internal/app/registrar/registrar.go
@@ -37,6 +37,9 @@
 	RingFiles int   `json:"ring_files" validate:"min=8,max=1024" help:"files in the disk ring"`
 	EraTerm   int64 `json:"era_us" validate:"min=1000000,max=86400000000" help:"how long an era of claims is the newest"`
 	Eras      int   `json:"eras" validate:"min=2,max=64" help:"eras open at a time; a once-only ticket of an older one is not run"`
+	// Disk wraps the folder that the ring lies in, for failures of disks in tests; it
+	// has no name in a settings file and no flag.
+	Disk      func(depository.FS) depository.FS
 	RingBytes int64 `json:"ring_bytes" validate:"min=65536,max=1073741824" help:"bytes of each ring file"`
 }
 
@@ -128,7 +131,11 @@
 		return err
 	}
 	r.d.OnStop(func() { _ = lock.Close() })
-	ring, raw, err := depository.Open(dir, depository.Plan{Files: r.s.RingFiles, Size: r.s.RingBytes})
+	var fs depository.FS = dir
+	if r.s.Disk != nil {
+		fs = r.s.Disk(fs)
+	}
+	ring, raw, err := depository.Open(fs, depository.Plan{Files: r.s.RingFiles, Size: r.s.RingBytes})
 	if err != nil {
 		return err
 	}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -12,9 +12,11 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"violetthread/depository"
 	"violetthread/internal/app/custodian"
 	"violetthread/internal/app/registrar"
 	"violetthread/internal/app/remisier"
@@ -26,6 +28,7 @@
 	"violetthread/internal/standin/engine"
 	"violetthread/internal/standin/platform"
 	"violetthread/plan"
+	"violetthread/settle"
 	"violetthread/tape/reel"
 )
 
@@ -47,6 +50,67 @@
 	return out
 }
 
+// sick is a disk that stalls, fills up or fails when told to.
+type sick struct {
+	depository.FS
+	mu   sync.Mutex
+	gate *sync.Cond
+	how  string // "" is well; stalled, full, failing
+}
+
+type sickFile struct {
+	depository.File
+	d *sick
+}
+
+func newSick(fs depository.FS) *sick {
+	d := &sick{FS: fs}
+	d.gate = sync.NewCond(&d.mu)
+	return d
+}
+
+func (d *sick) turn(how string) {
+	d.mu.Lock()
+	d.how = how
+	d.mu.Unlock()
+	d.gate.Broadcast()
+}
+
+// pass waits while the disk is stalled.
+func (d *sick) pass(write bool) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for d.how == "stalled" {
+		d.gate.Wait()
+	}
+	switch {
+	case d.how == "full" && write:
+		return syscall.ENOSPC
+	case d.how == "failing":
+		return syscall.EIO
+	}
+	return nil
+}
+
+func (d *sick) Open(name string, size int64) (depository.File, error) {
+	f, err := d.FS.Open(name, size)
+	return sickFile{f, d}, err
+}
+
+func (f sickFile) WriteAt(b []byte, o int64) (int, error) {
+	if err := f.d.pass(true); err != nil {
+		return 0, err
+	}
+	return f.File.WriteAt(b, o)
+}
+
+func (f sickFile) Sync() error {
+	if err := f.d.pass(false); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
 type rig struct {
 	t          *testing.T
 	registrars []string
@@ -57,6 +121,7 @@
 	tapes      []string
 	stop       map[string]*base.Daemon
 	wg         sync.WaitGroup
+	disks      []*sick // of the registrars
 }
 
 func (r *rig) run(name string, d *base.Daemon, err error) {
@@ -92,6 +157,10 @@
 				s.Seeds = append(s.Seeds, w)
 			}
 		}
+		s.Disk = func(fs depository.FS) depository.FS {
+			r.disks = append(r.disks, newSick(fs))
+			return r.disks[len(r.disks)-1]
+		}
 		r.registrars = append(r.registrars, s.HTTP)
 		d, err := registrar.New(s)
 		r.run(s.Name, d, err)
@@ -140,6 +209,9 @@
 }
 
 func (r *rig) down() {
+	for _, d := range r.disks {
+		d.turn("")
+	}
 	for n, d := range r.stop {
 		d.Stop()
 		delete(r.stop, n)
@@ -420,3 +492,67 @@
 		}
 	}
 }
+
+// TestSickDisks: the disk of the plan's owner stalls, that of its successor fills up.
+// Plans are acknowledged all the same, and what was acknowledged is read back from
+// whoever is left.
+func TestSickDisks(t *testing.T) {
+	r := newRig(t)
+	body := fmt.Sprintf(planText, plan.Digest("k-desk"), plan.Digest("k-walled"), r.backend)
+	put := func(i, n int) bool {
+		st, _ := r.send("PATCH", r.registrars[i]+"/v1/plan", "", nil, fmt.Sprintf(`{"notes":{"n":%d}}`, n))
+		return st == 200
+	}
+	r.until("a plan is taken", func() bool { st, _ := r.send("PUT", r.registrars[1]+"/v1/plan", "", nil, body); return st == 200 })
+	owner := func() int {
+		for _, a := range r.registrars {
+			var f registrar.Fleet
+			if _, b := r.get(a + "/v1/fleet"); json.Unmarshal([]byte(b), &f) != nil || len(f.Slots) == 0 {
+				continue
+			}
+			o := f.Slots[settle.SlotOf("plan", len(f.Slots))].Owner
+			for k := range r.registrars {
+				if o == fmt.Sprint("registrar", k) && r.stop[o] != nil {
+					return k
+				}
+			}
+		}
+		return -1
+	}
+	sickly := -1
+	r.until("the plan has an owner", func() bool { sickly = owner(); return sickly >= 0 })
+	r.disks[sickly].turn("stalled")
+	other := (sickly + 1) % 4
+	for n := 1; n <= 5; n++ {
+		r.until("a plan is acknowledged beside a stalled disk", func() bool { return put(other, n) })
+	}
+	r.disks[sickly].turn("failing") // and now it is gone for good
+	r.until("its registrar has left", func() bool { return !r.stop[fmt.Sprint("registrar", sickly)].Ready() })
+	delete(r.stop, fmt.Sprint("registrar", sickly))
+	r.until("the plan has another owner", func() bool { o := owner(); return o >= 0 && o != sickly && put(o, 6) })
+	for i := range r.registrars {
+		if i == sickly {
+			continue
+		}
+		r.until("what was acknowledged is read back", func() bool {
+			_, b := r.get(r.registrars[i] + "/v1/plan")
+			return strings.Contains(b, `"n":6`) && strings.Contains(b, "123456789012345678901234567890")
+		})
+	}
+	// A second disk fills up: the majority is lost, nothing is acknowledged any more,
+	// and nobody pretends otherwise.
+	full := -1
+	r.until("the plan has an owner still", func() bool { full = owner(); return full >= 0 })
+	r.disks[full].turn("full")
+	left := -1
+	for i := range r.registrars {
+		if i != sickly && i != full {
+			left = i
+		}
+	}
+	r.until("the full one has left", func() bool { put(left, 7); return !r.stop[fmt.Sprint("registrar", full)].Ready() })
+	delete(r.stop, fmt.Sprint("registrar", full))
+	if put(left, 8) {
+		t.Fatal("two of four acknowledged a plan")
+	}
+}
