--- /dev/null
+++ b/custody/weights.go
@@ -0,0 +1,103 @@
+package custody
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"strings"
+)
+
+// naming is a name of weights, and since when it is known to be in force.
+type naming struct {
+	name string
+	at   int64
+}
+
+// Turn tells an engine to change to other weights.
+type Turn struct {
+	Engine, Addr, Weights string
+	Epoch                 uint64
+}
+
+// late is for how long an engine has run weights that are not the newest: since the
+// first naming that neither it nor any later one matches. So a storm of namings
+// excuses nobody (design §10).
+func (k *Keeper) late(now int64, e *engine) (us int64, is bool) {
+	for i := len(k.named) - 1; i >= 0; i-- {
+		if k.named[i].name != e.weights {
+			us, is = now-k.named[i].at, true
+			continue
+		}
+		break
+	}
+	return us, is
+}
+
+// wave is when after a naming an engine is to be told, as every index node works
+// it out alike from the platform's list: so many in a wave, taken from all sites by
+// turns, whoever owns them, and the last wave in time for the bound.
+func (k *Keeper) wave(name string) int64 {
+	per := 50
+	if k.plan != nil {
+		per = k.plan.Limits.WavePercent
+	}
+	waves := (100 + per - 1) / per
+	if waves < 2 {
+		return 0
+	}
+	type at struct {
+		turn int
+		rank uint64
+		name string
+	}
+	sites := map[string][]at{}
+	for n, l := range k.listing {
+		if !l.Store && !l.Leaving {
+			sites[l.Site] = append(sites[l.Site], at{0, score("wave", n), n})
+		}
+	}
+	var all []at
+	for _, l := range sites {
+		slices.SortFunc(l, func(a, b at) int { return cmp.Or(cmp.Compare(a.rank, b.rank), strings.Compare(a.name, b.name)) })
+		for i, x := range l {
+			all = append(all, at{i, x.rank, x.name})
+		}
+	}
+	slices.SortFunc(all, func(a, b at) int {
+		return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.rank, b.rank), strings.Compare(a.name, b.name))
+	})
+	for i, x := range all {
+		if x.name == name {
+			return int64(i*waves/len(all)) * waveFor / int64(waves-1)
+		}
+	}
+	return 0 // leaving: it serves nobody
+}
+
+// Turns lists the engines to change now, in waves over the whole fleet, so that
+// the others keep serving (design §10). An engine is told until it has turned.
+func (k *Keeper) Turns(now int64) []Turn {
+	if k.plan == nil || now-k.planAt > planOld {
+		return nil
+	}
+	var ts []Turn
+	for n, e := range k.engines {
+		ep, ok := k.Holds(now, EngineDuty(n))
+		if !ok || e.Store || e.at == 0 || e.turnAt > 0 && now-e.turnAt < turnWait {
+			continue
+		}
+		if us, late := k.late(now, e); late && us >= k.wave(n) {
+			e.turnAt = now
+			ts = append(ts, Turn{n, e.Addr, k.plan.Weights, ep})
+		}
+	}
+	sort.Slice(ts, func(i, j int) bool { return ts[i].Engine < ts[j].Engine })
+	return ts
+}
+
+// stuck reports whether an engine was to change weights and did not within the
+// bound: it gets nothing more until it has.
+func (k *Keeper) stuck(now int64, e *engine) bool {
+	us, late := k.late(now, e)
+	return late && us > turnBound
+}
