--- a/desk/ticket.go
+++ b/desk/ticket.go
@@ -105,7 +105,7 @@
 		return nil, &Refusal{r, 0}
 	}
 	w.cost = d.cost(t.Kind)
-	if w.led.Once = false; d.plan.Kinds[t.Kind].Once {
+	if d.plan.Kinds[t.Kind].Once {
 		d.once(w)
 	}
 	room := d.Room(now)
--- a/sim/last.go
+++ b/sim/last.go
@@ -225,11 +225,4 @@
 }
 
 // LastFaultNames lists the faults in order.
-func LastFaultNames() []string {
-	var ns []string
-	for n := range LastFaults {
-		ns = append(ns, n)
-	}
-	sort.Strings(ns)
-	return ns
-}
+func LastFaultNames() []string { return sortedNames(LastFaults) }
--- a/sim/last_test.go
+++ b/sim/last_test.go
@@ -1,9 +1,7 @@
 package sim
 
 import (
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 )
 
@@ -11,7 +9,7 @@
 // and plans are acknowledged again, within ten seconds. VT_SEEDS runs more
 // seeds; -v prints the table of docs/measurements.md.
 func TestLastFault(t *testing.T) {
-	n, _ := strconv.ParseInt(os.Getenv("VT_SEEDS"), 10, 64)
+	n := seeds()
 	n = max(n, 2)
 	for _, name := range LastFaultNames() {
 		t.Run(name, func(t *testing.T) {
--- a/sim/move_test.go
+++ b/sim/move_test.go
@@ -1,9 +1,7 @@
 package sim
 
 import (
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 
 	"violetthread/custody"
@@ -15,7 +13,7 @@
 // use at proxies, and what is read and told anew. VT_SEEDS runs more seeds.
 func TestMoveCost(t *testing.T) {
 	t.Parallel()
-	n, _ := strconv.ParseInt(os.Getenv("VT_SEEDS"), 10, 64)
+	n := seeds()
 	for _, polite := range []bool{false, true} {
 		var orphan, out, settled []int64
 		moved, resyncs, failed, sent := 0, uint64(0), 0, 0
--- a/sim/operators_test.go
+++ b/sim/operators_test.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 
 	"violetthread/plan"
@@ -111,7 +109,7 @@
 // nodes; an acknowledged plan is never lost nor read back otherwise. VT_SEEDS runs
 // more seeds.
 func TestOperatorsRace(t *testing.T) {
-	n, _ := strconv.ParseInt(os.Getenv("VT_SEEDS"), 10, 64)
+	n := seeds()
 	for _, fault := range []Fault{Kills, Power, Cuts, Lossy, Torn, Replaced, Everybody} {
 		t.Run(string(fault), func(t *testing.T) {
 			t.Parallel()
--- a/sim/shares_test.go
+++ b/sim/shares_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"os"
 	"sort"
-	"strconv"
 	"testing"
 
 	"violetthread/blotter"
@@ -47,7 +45,7 @@
 // entitles it to of what is served, and what can't be done is refused early.
 // VT_SEEDS runs more seeds; -v prints the table of docs/measurements.md.
 func TestShares(t *testing.T) {
-	n, _ := strconv.ParseInt(os.Getenv("VT_SEEDS"), 10, 64)
+	n := seeds()
 	var names []string
 	for c := range crowds {
 		names = append(names, c)
--- a/sim/soak_test.go
+++ b/sim/soak_test.go
@@ -10,7 +10,7 @@
 // TestSoak runs many seeds when VT_SEEDS names how many, from VT_FROM on; CI
 // does not.
 func TestSoak(t *testing.T) {
-	n, _ := strconv.ParseInt(os.Getenv("VT_SEEDS"), 10, 64)
+	n := seeds()
 	from, _ := strconv.ParseInt(os.Getenv("VT_FROM"), 10, 64)
 	if n == 0 {
 		t.Skip("VT_SEEDS is not set")
@@ -60,3 +60,9 @@
 	}
 	return 25_000_000
 }
+
+// seeds is how many VT_SEEDS asks for, 0 for the test's own few.
+func seeds() int64 {
+	n, _ := strconv.ParseInt(os.Getenv("VT_SEEDS"), 10, 64)
+	return n
+}
--- a/sim/waves_test.go
+++ b/sim/waves_test.go
@@ -1,8 +1,6 @@
 package sim
 
 import (
-	"os"
-	"strconv"
 	"testing"
 
 	"violetthread/blotter"
@@ -13,7 +11,7 @@
 // while, and hardly a ticket fails for it. VT_SEEDS runs more seeds.
 func TestWaves(t *testing.T) {
 	t.Parallel()
-	n, _ := strconv.ParseInt(os.Getenv("VT_SEEDS"), 10, 64)
+	n := seeds()
 	least, worst := 18, int64(0)
 	for seed := int64(1); seed <= max(n, 2); seed++ {
 		f := NewFleet(seed, FleetSize{Proxies: 9, Engines: 18})
