--- a/depository/osdisk/fs.go
+++ b/depository/osdisk/fs.go
@@ -15,9 +15,11 @@
 // Folder keeps ring files under Dir.
 type Folder struct{ Dir string }
 
-// Open makes, fills and syncs a missing file, and its folder's entry with it.
+// Open makes, fills and syncs a missing file, and its folder's entry with it. The
+// folder is synced for a file that is there already as well: who made it may have
+// been cut off before it got that far.
 func (f Folder) Open(name string, size int64) (depository.File, error) {
-	if err := os.MkdirAll(f.Dir, 0o700); err != nil {
+	if err := makeDir(f.Dir); err != nil {
 		return nil, err
 	}
 	h, err := os.OpenFile(filepath.Join(f.Dir, name), os.O_RDWR|os.O_CREATE, 0o600)
@@ -33,9 +35,9 @@
 		if err == nil {
 			err = h.Sync()
 		}
-		if err == nil {
-			err = syncDir(f.Dir)
-		}
+	}
+	if err == nil {
+		err = syncDir(f.Dir)
 	}
 	if err != nil {
 		_ = h.Close()
@@ -47,7 +49,7 @@
 // Lock makes sure that one process alone uses the folder; the lock goes with the
 // process. Two lives of one disk at once could vote twice.
 func (f Folder) Lock() (io.Closer, error) {
-	if err := os.MkdirAll(f.Dir, 0o700); err != nil {
+	if err := makeDir(f.Dir); err != nil {
 		return nil, err
 	}
 	h, err := os.OpenFile(filepath.Join(f.Dir, "lock"), os.O_RDWR|os.O_CREATE, 0o600)
@@ -61,6 +63,21 @@
 	return h, nil
 }
 
+// makeDir makes a folder and those above it. A name lasts once the folder it lies in
+// is synced; so the one above is, also when the folder is there already.
+func makeDir(d string) error {
+	up := filepath.Dir(d)
+	if _, err := os.Stat(up); os.IsNotExist(err) && up != d {
+		if err := makeDir(up); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(d, 0o700); err != nil && !os.IsExist(err) {
+		return err
+	}
+	return syncDir(up)
+}
+
 func syncDir(d string) error {
 	h, err := os.Open(d)
 	if err != nil {
--- /dev/null
+++ b/internal/app/carrier/follow.go
@@ -0,0 +1,245 @@
+package carrier
+
+import (
+	"context"
+	"slices"
+	"sort"
+
+	"violetthread/cue"
+	"violetthread/internal/clock"
+	"violetthread/internal/crew"
+	"violetthread/placement"
+	"violetthread/route"
+	"violetthread/schema/fb"
+)
+
+const (
+	followHold    = 250_000 // how long a steward may hold a question
+	followPatient = 450_000 // and how long its answer may take beyond
+	staleWord     = 1_000_000
+	unusedFor     = 1_500_000 // a steward that failed is not asked first for so long
+)
+
+// view is what the proxy knows of the fleet. It never changes once published.
+type view struct {
+	table *route.Table
+	rev   uint64
+	at    int64 // when the configuration was last known to be in force
+	known bool
+	named map[string]naming
+	peers int // proxies of the fleet, this one included
+}
+
+type naming struct {
+	version uint64
+	at      int64
+}
+
+// age is how long ago the configuration was known to be in force.
+func (v *view) age(now int64) int64 {
+	if !v.known {
+		return 1 << 50
+	}
+	return now - v.at
+}
+
+// far is a steward as this proxy knows it.
+type far struct {
+	site  string // once it has said so
+	badAt int64
+}
+
+// follower keeps the view fresh: it asks one steward after the other, the one in
+// its own site first, and goes on to the next when one fails or falls behind.
+type follower struct {
+	c         *carrier
+	fars      map[string]*far
+	cur       string
+	inc, have uint64
+	seenMap   uint64
+	newsInc   uint64
+	newsAt    uint64
+}
+
+func (f *follower) run(ctx context.Context) {
+	for _, a := range f.c.s.Seeds {
+		f.fars[a] = &far{}
+	}
+	for ctx.Err() == nil {
+		if !f.ask(ctx) && !crew.Pause(ctx, 30_000) {
+			return
+		}
+	}
+}
+
+// order lists the stewards to ask, the best one first.
+func (f *follower) order(now int64) []string {
+	var l []string
+	for a := range f.fars {
+		l = append(l, a)
+	}
+	rank := func(a string) (n int) {
+		x := f.fars[a]
+		if x.badAt > 0 && now-x.badAt < unusedFor {
+			n += 4
+		}
+		switch {
+		case x.site == f.c.s.Site:
+		case x.site == "":
+			n++ // worth finding out
+		default:
+			n += 2
+		}
+		if a == f.cur {
+			n--
+		}
+		return n
+	}
+	sort.Slice(l, func(i, j int) bool {
+		if a, b := rank(l[i]), rank(l[j]); a != b {
+			return a < b
+		}
+		return score(f.c.s.Name, l[i]) < score(f.c.s.Name, l[j])
+	})
+	return l
+}
+
+func (f *follower) ask(ctx context.Context) bool {
+	now := clock.Now()
+	l := f.order(now)
+	if len(l) == 0 {
+		return false
+	}
+	a := l[0]
+	hold := int64(followHold)
+	if f.c.view.Load().table == nil || f.fars[a].site == "" {
+		hold = 0
+	}
+	q := &fb.MapAskT{Node: f.c.self(), Inc: f.inc, Have: f.have, Map: f.seenMap, NewsInc: f.newsInc, NewsSince: f.newsAt, Hold: hold}
+	r, err := f.c.book.At(a).Call(ctx, &fb.FrameT{MapAsk: q}, hold+followPatient)
+	if ctx.Err() != nil {
+		return false
+	}
+	x := f.fars[a]
+	if err != nil || r.MapTell == nil {
+		x.badAt = clock.Now()
+		if f.cur == a {
+			f.c.d.Log.Info("steward_lost", "steward", a)
+			f.cur = ""
+		}
+		return len(l) > 1
+	}
+	t := r.MapTell
+	x.site, x.badAt = t.Site, 0
+	if f.cur != a {
+		f.c.d.Log.Info("steward", "steward", a, "site", t.Site)
+		f.cur = a
+	}
+	// The answer left the steward no sooner than it had held the question.
+	f.take(t, now+t.Held)
+	if t.Known && t.Age > staleWord {
+		x.badAt = clock.Now() // it may be cut off from the configuration's owner
+	}
+	f.learn(t.Voters)
+	if !t.Known {
+		return false
+	}
+	return true
+}
+
+func (f *follower) learn(voters []string) {
+	if len(voters) == 0 {
+		return
+	}
+	for _, v := range voters {
+		if f.fars[v] == nil {
+			f.fars[v] = &far{}
+		}
+	}
+	for a := range f.fars {
+		if !slices.Contains(voters, a) && !slices.Contains(f.c.s.Seeds, a) {
+			delete(f.fars, a)
+		}
+	}
+}
+
+// take publishes what a steward told.
+func (f *follower) take(t *fb.MapTellT, at int64) {
+	c := f.c
+	v := *c.view.Load()
+	v.peers = max(1, int(t.Proxies))
+	if t.Inc != f.inc {
+		f.inc, f.seenMap = t.Inc, 0
+	}
+	if t.Known && t.Rev >= v.rev {
+		if t.Rev > v.rev && len(t.Config) > 0 {
+			if tab := c.door.Config(t.Config, t.Rev); tab != nil {
+				v.table, v.rev = tab, t.Rev
+				c.d.Log.Info("config", "rev", t.Rev, "version", tab.Version, "age_us", t.Age)
+			}
+		}
+		if t.Rev == v.rev {
+			v.known, v.at = true, max(v.at, at-t.Age)
+		}
+	}
+	f.have = v.rev
+	v.named = map[string]naming{}
+	old := c.view.Load().named
+	for _, n := range t.Named {
+		x := naming{n.Version, at - n.Age}
+		if o := old[n.Model]; o.version > x.version || o.version == x.version && o.at < x.at {
+			x = o
+		}
+		v.named[n.Model] = x
+	}
+	c.view.Store(&v)
+	if t.Whole {
+		f.seenMap = t.Map
+		c.takeMap(t.Engines)
+	}
+	f.news(t)
+}
+
+func (f *follower) news(t *fb.MapTellT) {
+	h := f.c.hints
+	f.newsInc, f.newsAt = t.NewsInc, t.NewsNext
+	f.c.hintMu.Lock()
+	defer f.c.hintMu.Unlock()
+	if t.NewsReset {
+		h.Clear()
+	}
+	for _, n := range t.News {
+		k := cue.Key{Hi: n.Hi, Lo: n.Lo, Check: n.Check}
+		if cue.Op(n.Op) == cue.Load {
+			h.Put(k, n.Node)
+		} else {
+			h.Drop(k, n.Node)
+		}
+	}
+}
+
+// takeMap gives the picker a new map of the fleet.
+func (c *carrier) takeMap(es []*fb.MapEngineT) {
+	var l []*placement.Engine
+	var ss []placement.Store
+	for _, e := range es {
+		if e.Store {
+			ss = append(ss, placement.Store{Addr: e.Addr, Site: e.Site, Down: e.Down})
+			continue
+		}
+		w := map[string]uint64{}
+		for _, m := range e.Weights {
+			w[m.Model] = m.Version
+		}
+		l = append(l, &placement.Engine{ID: e.Id, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining,
+			Turning: e.Turning, Down: e.Down, Slots: int(e.Slots), Weights: w})
+	}
+	c.mu.Lock()
+	c.pick.Map(l, ss)
+	c.mu.Unlock()
+	live := map[string]bool{}
+	for _, e := range l {
+		live[e.ID] = true
+	}
+	c.pool.sweep(func(id string) bool { return live[id] })
+}
--- /dev/null
+++ b/internal/app/carrier/pool.go
@@ -0,0 +1,168 @@
+package carrier
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"violetthread/internal/clock"
+)
+
+// pool keeps connections to engines. A connection carries one request at a time, and
+// is used again only if its last answer was whole and nothing lies on it unasked.
+type pool struct {
+	mu    sync.Mutex
+	idle  map[string][]*wire // by engine's life
+	Dials uint64
+	Again uint64
+}
+
+// wire is a connection to one engine.
+type wire struct {
+	net.Conn
+	br    *bufio.Reader
+	used  int
+	until int64 // not used again after it
+}
+
+const (
+	idleMost = 4_000_000 // a connection idle for longer is not used again
+	idleEach = 24        // idle connections kept to one engine
+	dialMost = 350_000
+)
+
+func newPool() *pool { return &pool{idle: map[string][]*wire{}} }
+
+// get is an idle connection to an engine's life, or none.
+func (p *pool) get(id string) *wire {
+	for {
+		p.mu.Lock()
+		l := p.idle[id]
+		if len(l) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		w := l[len(l)-1] // the one used last
+		p.idle[id] = l[:len(l)-1]
+		p.mu.Unlock()
+		if clock.Now() < w.until && w.quiet() {
+			p.mu.Lock()
+			p.Again++
+			p.mu.Unlock()
+			return w
+		}
+		w.kill()
+	}
+}
+
+// quiet reports whether the far end has neither closed nor said anything.
+func (w *wire) quiet() bool {
+	if w.br.Buffered() > 0 {
+		return false
+	}
+	t, ok := w.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	rc, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		clean = errors.Is(e, unix.EAGAIN)
+		return true
+	})
+	return err == nil && clean
+}
+
+// dial makes a new connection. A far end that falls silent is noticed by the kernel.
+func (p *pool) dial(ctx context.Context, addr string) (*wire, error) {
+	d := net.Dialer{Timeout: clock.Micros(dialMost), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clock.Micros(1_000_000), Interval: clock.Micros(1_000_000), Count: 2},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 2000)
+			})
+		}}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.Dials++
+	p.mu.Unlock()
+	return &wire{Conn: c, br: bufio.NewReaderSize(c, 8<<10)}, nil
+}
+
+// put gives a connection back after a whole answer.
+func (p *pool) put(id string, w *wire, h http.Header) {
+	keep := keepAlive(h)
+	if w.br.Buffered() > 0 || keep <= 0 {
+		w.kill()
+		return
+	}
+	w.used++
+	w.until = clock.Now() + keep
+	_ = w.SetDeadline(noTime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[id]) >= idleEach {
+		w.kill()
+		return
+	}
+	p.idle[id] = append(p.idle[id], w)
+}
+
+// keepAlive is for how long a connection may lie idle, going by the engine's word.
+func keepAlive(h http.Header) int64 {
+	keep := int64(idleMost)
+	for _, f := range strings.Split(h.Get("Keep-Alive"), ",") {
+		if s, ok := strings.CutPrefix(strings.TrimSpace(f), "timeout="); ok {
+			if n, err := strconv.ParseInt(s, 10, 64); err == nil {
+				keep = min(keep, n*1_000_000-400_000)
+			}
+		}
+	}
+	return keep
+}
+
+// kill drops a connection at once: what is still on its way is not sent any more.
+func (w *wire) kill() {
+	if t, ok := w.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = w.Close()
+}
+
+// sweep drops connections to engines that are gone, and those idle for too long.
+func (p *pool) sweep(live func(id string) bool) {
+	now := clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, l := range p.idle {
+		keep := l[:0]
+		for _, w := range l {
+			if live(id) && now < w.until {
+				keep = append(keep, w)
+			} else {
+				w.kill()
+			}
+		}
+		if p.idle[id] = keep; len(keep) == 0 {
+			delete(p.idle, id)
+		}
+	}
+}
+
+// closeIdle drops all idle connections.
+func (p *pool) closeIdle() { p.sweep(func(string) bool { return false }) }
--- a/internal/app/registrar/api.go
+++ b/internal/app/registrar/api.go
@@ -1,7 +1,6 @@
 package registrar
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,7 +10,6 @@
 
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/wire"
 	"violetthread/plan"
 	"violetthread/schema/fb"
@@ -31,7 +29,7 @@
 	Rev uint64 `json:"rev"`
 }
 
-func (r *registrar) routes() {
+func (r *Node) routes() {
 	r.d.Handle("/v1/plan", r.planHTTP)
 	r.d.Handle("/v1/fleet", r.fleetHTTP)
 	r.d.Handle("/v1/roster", r.rosterHTTP)
@@ -52,24 +50,10 @@
 	r.d.Gauge("plan_age_us", "time since the plan was vouched for", func() float64 { return float64(r.cache.Load().Age(clock.Now())) })
 }
 
-const opPatience = 4_000_000
-
-// settled carries an operation out, trying again while it provably did nothing.
-func (r *registrar) settled(ctx context.Context, t *fb.OpAskT) *fb.OpTellT {
-	ctx, stop := context.WithTimeout(ctx, clock.Micros(opPatience))
-	defer stop()
-	for {
-		a := r.op(ctx, t)
-		if settle.Status(a.Status) != settle.NotOwner || !crew.Pause(ctx, 30_000) {
-			return a
-		}
-	}
-}
-
-func (r *registrar) planHTTP(w http.ResponseWriter, q *http.Request) {
+func (r *Node) planHTTP(w http.ResponseWriter, q *http.Request) {
 	switch q.Method {
 	case http.MethodGet:
-		a := r.settled(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: planKey})
+		a := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: planKey})
 		switch {
 		case settle.Status(a.Status) != settle.Done:
 			unsettled(w, a)
@@ -94,7 +78,7 @@
 
 func etag(rev uint64) string { return fmt.Sprintf("%q", strconv.FormatUint(rev, 10)) }
 
-func (r *registrar) change(w http.ResponseWriter, q *http.Request) {
+func (r *Node) change(w http.ResponseWriter, q *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, plan.MaxBytes+1))
 	if err != nil {
 		base.JSON(w, http.StatusRequestEntityTooLarge, Problems{Reason: "too-large", Remedy: fmt.Sprintf("keep a plan within %d bytes", plan.MaxBytes)})
@@ -110,7 +94,7 @@
 	}
 	for try := 0; try < 50; try++ {
 		// What is in force is read first in any case: the seal follows from it.
-		at := r.settled(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: planKey})
+		at := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: planKey})
 		if settle.Status(at.Status) != settle.Done {
 			unsettled(w, at)
 			return
@@ -120,7 +104,7 @@
 			declined(w, err)
 			return
 		}
-		a := r.settled(q.Context(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: planKey, Val: sealed, Expect: at.Rev})
+		a := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: planKey, Val: sealed, Expect: at.Rev})
 		switch settle.Status(a.Status) {
 		case settle.Done:
 			r.d.Log.Info("plan_accepted", "rev", a.Rev, "method", q.Method, "from", q.RemoteAddr)
@@ -183,7 +167,7 @@
 	Step uint64 `json:"step"`
 }
 
-func (r *registrar) rosterHTTP(w http.ResponseWriter, q *http.Request) {
+func (r *Node) rosterHTTP(w http.ResponseWriter, q *http.Request) {
 	var c Change
 	d := json.NewDecoder(http.MaxBytesReader(w, q.Body, 4096))
 	d.DisallowUnknownFields()
@@ -206,7 +190,7 @@
 	}
 	var come *settle.Voter
 	if c.Addr != "" {
-		a, err := r.book.At(c.Addr).Call(q.Context(), &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.inc}}, 1_000_000)
+		a, err := r.book.At(c.Addr).Call(q.Context(), &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc()}}, 1_000_000)
 		if err != nil || a.FoundTell == nil {
 			no(http.StatusBadGateway, "newcomer-unreachable", "start the new registrar first, and give its wire address as IP:port")
 			return
@@ -222,12 +206,12 @@
 		no(http.StatusBadRequest, "no-such-step", err.Error())
 		return
 	}
-	at := r.settled(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: settle.RosterKey})
+	at := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: settle.RosterKey})
 	if settle.Status(at.Status) != settle.Done {
 		unsettled(w, at)
 		return
 	}
-	a := r.settled(q.Context(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: settle.RosterKey, Val: n.Bytes(), Expect: at.Rev})
+	a := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: settle.RosterKey, Val: n.Bytes(), Expect: at.Rev})
 	switch settle.Status(a.Status) {
 	case settle.Done:
 		r.d.Log.Info("roster_changed", "step", n.Step(), "old", c.Old, "addr", c.Addr)
@@ -284,7 +268,7 @@
 	Wire string `json:"wire"`
 }
 
-func (r *registrar) fleetHTTP(w http.ResponseWriter, _ *http.Request) {
+func (r *Node) fleetHTTP(w http.ResponseWriter, _ *http.Request) {
 	now := clock.Now()
 	c := r.cache.Load()
 	f := Fleet{Registrar: r.s.Name, Plan: PlanState{c.Rev, c.Age(now)}, Slots: []SlotState{}, Nodes: []NodeState{}}
--- /dev/null
+++ b/internal/app/registrar/embed.go
@@ -0,0 +1,99 @@
+package registrar
+
+import (
+	"context"
+
+	"github.com/samber/lo"
+
+	"violetthread/internal/base"
+	"violetthread/internal/clock"
+	"violetthread/internal/crew"
+	"violetthread/internal/link"
+	"violetthread/schema/fb"
+	"violetthread/settle"
+)
+
+// Daemon is the process around the node.
+func (r *Node) Daemon() *base.Daemon { return r.d }
+
+// Name is the node's name.
+func (r *Node) Name() string { return r.s.Name }
+
+// Inc is the incarnation of the node's disk; another one once it was retired.
+func (r *Node) Inc() uint64 { return r.inc.Load() }
+
+// Up reports whether this node votes.
+func (r *Node) Up() bool { return r.up.Load() }
+
+// Book holds the node's wires to others.
+func (r *Node) Book() *link.Book { return r.book }
+
+// Live lists the members whose sessions stand.
+func (r *Node) Live(now int64) []*fb.NodeT { return r.roll.Live(now) }
+
+// Voters are the wire addresses of the roster in force here, this node's among them;
+// none while this disk is in no roster.
+func (r *Node) Voters() []string {
+	f := r.found.Load()
+	if f == nil {
+		return nil
+	}
+	return lo.Map(f.Voters, func(v *fb.VoterT, _ int) string { return v.Addr })
+}
+
+// Frames adds a handler that is asked before the node's own; nil from it means that
+// the frame is not its own.
+func (r *Node) Frames(h func(ctx context.Context, f *fb.FrameT) *fb.FrameT) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var hs []link.Handler
+	if p := r.frames.Load(); p != nil {
+		hs = append(hs, *p...)
+	}
+	hs = append(hs, h)
+	r.frames.Store(&hs)
+}
+
+// Once carries an operation out with one try.
+func (r *Node) Once(ctx context.Context, t *fb.OpAskT) *fb.OpTellT { return r.op(ctx, t) }
+
+// Op carries an operation out, trying again while it provably did nothing, or while
+// doing it twice is the same as once, for as long as Settings.Patience.
+func (r *Node) Op(ctx context.Context, t *fb.OpAskT) *fb.OpTellT {
+	ctx, stop := context.WithTimeout(ctx, clock.Micros(lo.Ternary(r.s.Patience > 0, r.s.Patience, Defaults().Patience)))
+	defer stop()
+	doubt := false
+	for {
+		c := *t
+		a := r.op(ctx, &c)
+		again := false
+		a, doubt, again = verdict(settle.OpKind(t.Kind), a, doubt)
+		if !again || !crew.Pause(ctx, 30_000) {
+			return a
+		}
+	}
+}
+
+// harmless tells the operations that may be carried out twice: a read, and a claim or
+// lease that its very holder asks for again (design §4.5, §6).
+func harmless(k settle.OpKind) bool {
+	return k == settle.OpGet || k == settle.OpClaim || k == settle.OpHold
+}
+
+// verdict is what the caller may be told after a try, whether one of the tries may
+// still take effect, and whether to try again. After a try in doubt only an answer
+// that holds whatever became of it counts; a read is never in doubt.
+func verdict(k settle.OpKind, a *fb.OpTellT, doubt bool) (tell *fb.OpTellT, doubtful, again bool) {
+	switch st := settle.Status(a.Status); {
+	case st == settle.Done || st == settle.Conflict || st == settle.Closed:
+		return a, doubt, false
+	case st == settle.Unknown && !harmless(k):
+		return a, true, false
+	case st == settle.Unknown:
+		return a, doubt || k != settle.OpGet, true
+	case doubt:
+		return &fb.OpTellT{Status: byte(settle.Unknown)}, true, true
+	default:
+		return a, false, st == settle.NotOwner
+	}
+}
--- /dev/null
+++ b/internal/app/registrar/join.go
@@ -0,0 +1,270 @@
+package registrar
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/samber/lo"
+
+	"violetthread/internal/clock"
+	"violetthread/internal/crew"
+	"violetthread/internal/wire"
+	"violetthread/schema/fb"
+	"violetthread/settle"
+)
+
+const (
+	askEvery   = 50_000  // between questions to one registrar
+	askLimit   = 500_000 // for its answer
+	fresh      = 700_000 // an answer this old still counts for a founding
+	probeEvery = 200_000
+	lonely     = 500_000 // without word from a majority a voter looks for a newer roster
+	maxKnown   = 32
+)
+
+// life is a disk's way: it finds or founds a roster that holds it, votes while a
+// roster does, and begins anew when none does any more (design §4.6).
+func (r *Node) life(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f := r.found.Load(); f != nil && !r.holds(f) {
+			if err := r.retire(f); err != nil {
+				r.fatal(err)
+				return
+			}
+		}
+		if r.found.Load() == nil {
+			f, ok := r.join(ctx)
+			if !ok {
+				return
+			}
+			f.Inc = r.Inc()
+			if err := r.keep(f); err != nil {
+				r.fatal(err)
+				return
+			}
+			r.found.Store(f)
+			r.d.Log.Info("joined", "fleet", f.Fleet, "step", wire.Unroster(f).Step(), "voters", strings.Join(lo.Map(f.Voters, func(v *fb.VoterT, _ int) string { return v.Name }), ","))
+		}
+		r.vote(ctx)
+	}
+}
+
+// holds tells whether the very disk of this node votes in a roster.
+func (r *Node) holds(f *fb.FoundingT) bool {
+	return lo.ContainsBy(f.Voters, func(v *fb.VoterT) bool { return v.Name == r.s.Name && v.Inc == r.Inc() })
+}
+
+// retire drops the state of a disk that a newer roster does not hold, and its
+// incarnation with it. The ring is restated as a checkpoint that holds nothing but the
+// new incarnation and whom to ask: until that is synced, the old state stands whole.
+func (r *Node) retire(f *fb.FoundingT) error {
+	inc, err := draw()
+	if err != nil {
+		return err
+	}
+	b := &fb.FoundingT{Inc: inc, Voters: f.Voters}
+	if err := r.ring.Checkpoint([][]byte{wire.Founding(b)}); err != nil {
+		return err
+	}
+	r.d.Log.Info("retired", "step", wire.Unroster(f).Step(), "inc", inc)
+	r.inc.Store(inc)
+	r.learn(addrs(f))
+	r.found.Store(nil)
+	r.node, r.recs, r.tight = nil, nil, false
+	for id, ch := range r.waiting {
+		delete(r.waiting, id)
+		ch <- settle.Answer{Status: settle.Unknown}
+	}
+	clear(r.senders)
+	for len(r.disk) > 0 {
+		<-r.disk
+	}
+	for len(r.retired) > 0 {
+		<-r.retired
+	}
+	r.done.Store(0)
+	r.full.Store(false)
+	r.ckpting.Store(false)
+	r.used.Store(int64(r.ring.Used()))
+	r.stats.Store(&stats{})
+	return nil
+}
+
+func addrs(f *fb.FoundingT) []string {
+	return lo.Map(f.Voters, func(v *fb.VoterT, _ int) string { return v.Addr })
+}
+
+// learn keeps addresses of registrars, the latest first.
+func (r *Node) learn(as []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := lo.Uniq(append(slices.Clone(as), r.known...))
+	r.known = l[:min(len(l), maxKnown)]
+}
+
+// knows lists whom this node may ask: what it learned and its seeds, never itself.
+func (r *Node) knows() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return lo.Without(lo.Uniq(append(slices.Clone(r.known), r.s.Seeds...)), r.s.Wire, "")
+}
+
+type told struct {
+	addr string
+	at   int64
+	t    *fb.FoundTellT // nil: no answer
+}
+
+// join asks whoever may know a roster, each on its own so that a dead one holds
+// nobody up, until a roster holds this disk or it founded one with the seeds.
+func (r *Node) join(ctx context.Context) (*fb.FoundingT, bool) {
+	c := crew.New(ctx, r.d.Log)
+	defer c.Stop()
+	ch := make(chan told, 64)
+	asked, last := map[string]bool{}, map[string]told{}
+	for {
+		for _, a := range r.knows() {
+			if asked[a] {
+				continue
+			}
+			asked[a] = true
+			c.Go("ask", func(ctx context.Context) {
+				for ctx.Err() == nil {
+					at := clock.Now()
+					if !crew.Give(ctx, ch, told{a, at, r.ask(ctx, a, true)}) || !crew.Pause(ctx, askEvery) {
+						return
+					}
+				}
+			})
+		}
+		if f, err := r.foundNow(clock.Now(), last); f != nil {
+			return f, true
+		} else if err != nil {
+			r.d.SetReady(err.Error())
+		}
+		if len(asked) == 0 { // nobody to ask but those who find this node
+			if !crew.Pause(ctx, askEvery) {
+				return nil, false
+			}
+			continue
+		}
+		w, ok := crew.Wait(ctx, ch)
+		if !ok {
+			return nil, false
+		}
+		last[w.addr] = w
+		if w.t != nil && w.t.Founding != nil && w.t.Founding.Rev != 0 {
+			if r.holds(w.t.Founding) {
+				return w.t.Founding, true
+			}
+			r.learn(addrs(w.t.Founding))
+		}
+	}
+}
+
+// ask asks one registrar who it is and which roster it follows. A blank one asks to
+// be let in by that.
+func (r *Node) ask(ctx context.Context, addr string, blank bool) *fb.FoundTellT {
+	t, err := r.book.At(addr).Call(ctx, &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc(), Blank: blank}}, askLimit)
+	if err != nil {
+		return nil
+	}
+	return t.FoundTell
+}
+
+// foundNow founds a fleet out of what the seeds just told, or says what is waited for.
+// Only seeds found, once each has told its number and none knows a roster; whoever
+// meets a founded fleet joins that (design §4.6).
+func (r *Node) foundNow(now int64, last map[string]told) (*fb.FoundingT, error) {
+	for _, w := range last {
+		if w.t != nil && w.t.Founding != nil {
+			return nil, fmt.Errorf("waiting to be let into the fleet's roster; a majority of its registrars must be up")
+		}
+	}
+	if !r.s.Found {
+		return nil, fmt.Errorf("no founded fleet is reachable; if this is the fleet's first start, give every registrar --found true")
+	}
+	if !slices.Contains(r.s.Seeds, r.s.Wire) {
+		return nil, fmt.Errorf("waiting for the seeds to found the fleet; start the registrars at %s", strings.Join(r.s.Seeds, ", "))
+	}
+	vs := []*fb.VoterT{{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc()}}
+	for _, a := range lo.Without(lo.Uniq(r.s.Seeds), r.s.Wire) {
+		w := last[a]
+		if w.t == nil || now-w.at > fresh {
+			return nil, fmt.Errorf("founding waits until every seed answers; %s does not", a)
+		}
+		vs = append(vs, &fb.VoterT{Name: w.t.Name, Addr: a, Inc: w.t.Inc})
+	}
+	sort.Slice(vs, func(i, j int) bool { return vs[i].Name < vs[j].Name })
+	h := fnv.New64a()
+	for i, v := range vs {
+		v.Num = uint16(i + 1)
+		_, _ = fmt.Fprintf(h, "%s|%s|%d;", v.Name, v.Addr, v.Inc)
+		if i > 0 && vs[i-1].Name == v.Name {
+			return nil, fmt.Errorf("two registrars are named %s; give each its own name", v.Name)
+		}
+	}
+	fleet := h.Sum64() >> 24
+	return &fb.FoundingT{Fleet: fleet, Rev: settle.Found(fleet), Voters: vs}, nil
+}
+
+// foundTell answers who this is. A blank asker wants to be let in; one that votes may
+// be the only way for a blank node here to find its fleet.
+func (r *Node) foundTell(q *fb.FoundAskT) *fb.FoundTellT {
+	f := r.found.Load()
+	_, err := netip.ParseAddrPort(q.Addr)
+	switch {
+	case err != nil || q.Name == "" || q.Inc == 0:
+	case q.Blank && f != nil && r.up.Load():
+		v := settle.Voter{Name: q.Name, Addr: q.Addr, Inc: q.Inc}
+		crew.Offer(r.in, func(now int64) { r.out(r.node.Admit(now, v)) })
+	case !q.Blank && f == nil:
+		r.learn([]string{q.Addr})
+	}
+	return &fb.FoundTellT{Name: r.s.Name, Inc: r.Inc(), Blank: f == nil, Founding: f}
+}
+
+// probe looks after voters that are not heard. Without a majority this node may have
+// been left out of newer rosters, and asks for them; one that is blank since learns
+// from the question whom to ask.
+func (r *Node) probe(ctx context.Context) {
+	ch := make(chan []settle.Voter, 1)
+	far := false
+	if !crew.Give(ctx, r.in, func(now int64) {
+		var vs []settle.Voter
+		ro := r.node.Roster()
+		for _, v := range ro.Voters {
+			if v.Name != r.s.Name && r.node.Silence(now, v.Name) > lonely {
+				vs = append(vs, v)
+			}
+		}
+		far = len(ro.Voters)-len(vs) < ro.Majority()
+		ch <- vs
+	}) {
+		return
+	}
+	vs, ok := crew.Wait(ctx, ch)
+	if !ok || len(vs) == 0 {
+		return
+	}
+	as := lo.Map(vs, func(v settle.Voter, _ int) string { return v.Addr })
+	if far {
+		as = append(as, r.knows()...)
+	}
+	for _, a := range lo.Without(lo.Uniq(as), r.s.Wire) {
+
+		r.c.Go("probe.ask", func(ctx context.Context) {
+			t := r.ask(ctx, a, false)
+			if t == nil || t.Founding == nil || t.Founding.Rev == 0 {
+				return
+			}
+			ro := wire.Unroster(t.Founding)
+			crew.Give(ctx, r.in, func(now int64) { r.out(r.node.Learn(now, ro)) })
+		})
+	}
+}
--- a/internal/app/registrar/registrar.go
+++ b/internal/app/registrar/registrar.go
@@ -6,12 +6,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"fmt"
-	"hash/fnv"
 	"net"
 	"path/filepath"
-	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
@@ -39,22 +37,30 @@
 	Eras      int   `json:"eras" validate:"min=2,max=64" help:"eras open at a time; a once-only ticket of an older one is not run"`
 	// Disk wraps the folder that the ring lies in, for failures of disks in tests; it
 	// has no name in a settings file and no flag.
-	Disk      func(depository.FS) depository.FS
+	Disk func(depository.FS) depository.FS
+	// Patience bounds Node.Op, the way operators' requests take.
+	Patience  int64 `json:"patience_us" validate:"min=100000,max=60000000" help:"longest wait for an operator's change to be settled"`
 	RingBytes int64 `json:"ring_bytes" validate:"min=65536,max=1073741824" help:"bytes of each ring file"`
 }
 
 // Defaults of the settings.
 func Defaults() Settings {
-	return Settings{Node: base.Node{Drain: 1_000_000}, RingFiles: 32, RingBytes: 8 << 20, EraTerm: 120_000_000, Eras: 5}
+	return Settings{Node: base.Node{Drain: 1_000_000}, RingFiles: 32, RingBytes: 8 << 20, EraTerm: 120_000_000, Eras: 5, Patience: 4_000_000}
 }
 
-type registrar struct {
+// Node is a running registrar.
+type Node struct {
 	s       Settings
 	d       *base.Daemon
+	c       *crew.Crew // of the voter, while this disk is in a roster
 	book    *link.Book
 	ring    *depository.Ring
-	inc     uint64
+	inc     atomic.Uint64
 	found   atomic.Pointer[fb.FoundingT]
+	retired chan struct{} // a newer roster does not hold this disk
+	frames  atomic.Pointer[[]link.Handler]
+	mu      sync.Mutex
+	known   []string // addresses to ask while this disk is in no roster
 	recs    []settle.Rec
 	node    *settle.Node
 	in      chan func(now int64)
@@ -72,7 +78,7 @@
 	full    atomic.Bool   // the ring wants a checkpoint
 	used    atomic.Int64
 	tight   bool
-	turns   int // of refresh alone
+	turns   atomic.Uint64 // of another
 }
 
 type batch struct {
@@ -85,6 +91,7 @@
 	slots []settle.Slot
 	size  int
 	firm  bool
+	mute  map[string]bool // voters not heard lately
 }
 
 // Run runs a registrar until it is told to stop.
@@ -98,6 +105,15 @@
 
 // New makes one, ready to Run.
 func New(s Settings) (*base.Daemon, error) {
+	r, err := Make(s)
+	if err != nil {
+		return nil, err
+	}
+	return r.Daemon(), nil
+}
+
+// Make makes one for a program that adds to what it answers.
+func Make(s Settings) (*Node, error) {
 	if s.Data == "" || s.Wire == "" {
 		return nil, trace.BadParameter("data_dir and wire are needed; give --data-dir a folder and --wire an IP:port")
 	}
@@ -105,7 +121,7 @@
 	if err := d.Profile(s.CPU); err != nil {
 		return nil, err
 	}
-	r := &registrar{s: s, d: d, in: make(chan func(int64), 4096), disk: make(chan batch, 4096),
+	r := &Node{s: s, d: d, retired: make(chan struct{}, 1), in: make(chan func(int64), 4096), disk: make(chan batch, 4096),
 		senders: map[string]chan *fb.FrameT{}, waiting: map[uint64]chan settle.Answer{}, roll: roll.New(s.Name)}
 	r.book = link.NewBook(d.Crew)
 	r.stats.Store(&stats{})
@@ -120,11 +136,11 @@
 	link.Serve(d.Crew, l, link.Chain(r.handle))
 	d.OnDrain(r.leave)
 	r.routes()
-	d.Crew.Go("join", r.join)
-	return d, nil
+	d.Crew.Go("life", r.life)
+	return r, nil
 }
 
-func (r *registrar) open() error {
+func (r *Node) open() error {
 	dir := osdisk.Folder{Dir: filepath.Join(r.s.Data, "ring")}
 	lock, err := dir.Lock()
 	if err != nil {
@@ -146,124 +162,71 @@
 			return trace.Wrap(err, "the ring holds a record that this version can't read; start the version that wrote it")
 		}
 		if c.Roster != nil {
-			r.found.Store(wire.Roster(*c.Roster, r.inc))
+			r.found.Store(wire.Roster(*c.Roster, r.Inc()))
 		}
 		if f != nil {
-			r.inc = f.Inc
-			if len(f.Voters) > 0 {
+			r.inc.Store(f.Inc)
+			if f.Rev == 0 {
+				r.learn(addrs(f)) // of a disk in no roster: whom to ask
+			} else {
 				r.found.Store(f)
 			}
 			continue
 		}
 		r.recs = append(r.recs, c)
 	}
-	if r.inc == 0 {
-		var b [8]byte
-		if _, err := rand.Read(b[:]); err != nil {
+	if r.Inc() == 0 {
+		inc, err := draw()
+		if err != nil {
 			return err
 		}
-		r.inc = binary.LittleEndian.Uint64(b[:])>>1 | 1
+		r.inc.Store(inc)
 		// On disk before anyone hears of it: the same number never stands for
 		// two lives of this disk.
-		if err := r.keep(&fb.FoundingT{Inc: r.inc}); err != nil {
+		if err := r.keep(&fb.FoundingT{Inc: inc}); err != nil {
 			return err
 		}
 	}
-	r.d.Log.Info("ring_open", "records", len(raw), "used_permille", ring.Used(), "inc", r.inc)
+	r.d.Log.Info("ring_open", "records", len(raw), "used_permille", ring.Used(), "inc", r.Inc())
 	return nil
 }
 
-func (r *registrar) keep(f *fb.FoundingT) error {
-	if err := r.ring.Append(wire.Founding(f)); err != nil {
-		return err
+func draw() (uint64, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, err
 	}
-	return r.ring.Sync()
+	return binary.LittleEndian.Uint64(b[:])>>1 | 1, nil
 }
 
-// join finds out which roster this node belongs to, then runs its part.
-func (r *registrar) join(ctx context.Context) {
-	for r.found.Load() == nil {
-		f, err := r.seek(ctx)
-		if err != nil {
-			r.d.SetReady(err.Error())
-		} else if f != nil {
-			f.Inc = r.inc
-			if err := r.keep(f); err != nil {
-				r.fatal(err)
-				return
-			}
-			r.found.Store(f)
-			r.d.Log.Info("founded", "fleet", f.Fleet, "voters", strings.Join(lo.Map(f.Voters, func(v *fb.VoterT, _ int) string { return v.Name }), ","))
-			break
-		}
-		if !crew.Pause(ctx, 200_000) {
-			return
-		}
-	}
-	r.vote()
-}
-
-// seek asks the seeds. A fleet is founded once all four have told their
-// numbers; whoever meets a founded fleet takes its roster (design §4.6).
-func (r *registrar) seek(ctx context.Context) (*fb.FoundingT, error) {
-	vs := []*fb.VoterT{{Name: r.s.Name, Addr: r.s.Wire, Inc: r.inc}}
-	blank := true
-	for _, a := range r.s.Seeds {
-		if a == r.s.Wire {
-			continue
-		}
-		t, err := r.book.At(a).Call(ctx, &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.inc, Blank: true}}, 500_000)
-		if err != nil || t.FoundTell == nil {
-			blank = false
-			continue
-		}
-		if f := t.FoundTell.Founding; f != nil && len(f.Voters) > 0 {
-			for _, v := range f.Voters {
-				if v.Name == r.s.Name && v.Inc == r.inc {
-					return f, nil
-				}
-			}
-			return nil, fmt.Errorf("the fleet's roster does not hold this disk; have an operator replace %s in it", r.s.Name)
-		}
-		vs = append(vs, &fb.VoterT{Name: t.FoundTell.Name, Addr: a, Inc: t.FoundTell.Inc})
-	}
-	switch {
-	case !r.s.Found:
-		return nil, fmt.Errorf("no founded fleet is reachable; if this is the fleet's first start, give every registrar --found true")
-	case !blank:
-		return nil, fmt.Errorf("founding waits until every seed answers")
-	}
-	sort.Slice(vs, func(i, j int) bool { return vs[i].Name < vs[j].Name })
-	h := fnv.New64a()
-	for i, v := range vs {
-		v.Num = uint16(i + 1)
-		_, _ = fmt.Fprintf(h, "%s|%s|%d;", v.Name, v.Addr, v.Inc)
-		if i > 0 && vs[i-1].Name == v.Name {
-			return nil, fmt.Errorf("two registrars are named %s; give each its own name", v.Name)
-		}
+func (r *Node) keep(f *fb.FoundingT) error {
+	if err := r.ring.Append(wire.Founding(f)); err != nil {
+		return err
 	}
-	fleet := h.Sum64() >> 24
-	return &fb.FoundingT{Fleet: fleet, Rev: settle.Found(fleet), Voters: vs}, nil
+	return r.ring.Sync()
 }
 
-func (r *registrar) fatal(err error) {
+func (r *Node) fatal(err error) {
 	r.d.Log.Info("disk_problem", "cause", err.Error())
 	r.d.SetReady("the disk failed: " + err.Error())
 	r.d.Stop()
 }
 
-// vote starts the voter: one loop for its state, one for its disk, one to each peer.
-func (r *registrar) vote() {
+// vote runs the voter until a newer roster does not hold this disk: one loop for its
+// state, one for its disk, one to each peer.
+func (r *Node) vote(ctx context.Context) {
+	r.c = crew.New(ctx, r.d.Log)
+	defer r.c.Stop()
 	ro := wire.Unroster(r.found.Load())
-	p := settle.Defaults(r.s.Name, r.inc)
+	p := settle.Defaults(r.s.Name, r.Inc())
 	p.EraTerm, p.Eras = r.s.EraTerm, r.s.Eras
 	p.Limit = int(int64(r.s.RingFiles) * r.s.RingBytes / 4)
 	now := clock.Now()
 	r.node = settle.New(p, ro, now, r.recs)
 	r.recs = nil
 	r.up.Store(true)
-	r.d.Crew.Go("disk", r.writeDisk)
-	r.d.Crew.Go("voter", func(ctx context.Context) {
+	r.c.Go("disk", r.writeDisk)
+	r.c.Go("voter", func(ctx context.Context) {
 		crew.Serve(ctx, r.in, clock.Micros(p.Beat/4),
 			func(f func(int64)) { f(clock.Now()) },
 			func() {
@@ -276,11 +239,16 @@
 				}
 				r.out(r.node.Tick(now))
 				r.era.Store(r.node.Open())
-				r.stats.Store(&stats{r.node.Slots(now), r.node.Size(), r.node.Firm()})
+				mute := map[string]bool{}
+				for _, v := range r.node.Roster().Voters {
+					mute[v.Name] = r.node.Silence(now, v.Name) > muteAfter
+				}
+				r.stats.Store(&stats{r.node.Slots(now), r.node.Size(), r.node.Firm(), mute})
 			})
 	})
-	r.d.Crew.Go("plan", func(ctx context.Context) { crew.Every(ctx, clock.Micros(150_000), r.refresh) })
-	r.d.Crew.Go("roll", func(ctx context.Context) {
+	r.c.Go("probe", func(ctx context.Context) { crew.Every(ctx, clock.Micros(probeEvery), r.probe) })
+	r.c.Go("plan", func(ctx context.Context) { crew.Every(ctx, clock.Micros(150_000), r.refresh) })
+	r.c.Go("roll", func(ctx context.Context) {
 		crew.Every(ctx, clock.Micros(300_000), func(context.Context) {
 			m := &fb.FrameT{RollTell: r.roll.Tell(clock.Now())}
 			crew.Offer(r.in, func(int64) {
@@ -291,10 +259,12 @@
 		})
 	})
 	r.d.SetReady("")
+	crew.Wait(ctx, r.retired)
+	r.up.Store(false)
 }
 
 // out carries a step's effects out.
-func (r *registrar) out(o settle.Out) {
+func (r *Node) out(o settle.Out) {
 	for _, e := range o.Events {
 		if !strings.HasPrefix(e, "unheard") {
 			r.d.Log.Info("settle", "what", e)
@@ -305,10 +275,14 @@
 		for _, c := range o.Recs {
 			b.recs = append(b.recs, wire.Rec(c))
 		}
-		crew.Give(r.d.Crew.Context(), r.disk, b)
+		crew.Give(r.c.Context(), r.disk, b)
 	}
 	if o.Roster != nil {
-		r.found.Store(wire.Roster(*o.Roster, r.inc))
+		f := wire.Roster(*o.Roster, r.Inc())
+		r.found.Store(f)
+		if !r.holds(f) {
+			crew.Offer(r.retired, struct{}{})
+		}
 	}
 	for _, s := range o.Sends {
 		r.give(s.To, wire.Settle(s.Msg))
@@ -322,7 +296,7 @@
 }
 
 // leave gives the slots up before a polite stop, and lets the word go out.
-func (r *registrar) leave(ctx context.Context) {
+func (r *Node) leave(ctx context.Context) {
 	if !r.up.Load() {
 		return
 	}
@@ -338,7 +312,7 @@
 
 // give queues a frame for another voter, on a sender of its own so that a slow
 // one holds up nobody. Called from the voter's loop alone.
-func (r *registrar) give(name string, m *fb.FrameT) {
+func (r *Node) give(name string, m *fb.FrameT) {
 	if name == r.s.Name {
 		return
 	}
@@ -351,7 +325,7 @@
 		ch = make(chan *fb.FrameT, 4096)
 		r.senders[name] = ch
 		p := r.book.At(v.Addr)
-		r.d.Crew.Go("peer", func(ctx context.Context) {
+		r.c.Go("peer", func(ctx context.Context) {
 			for {
 				m, ok := crew.Wait(ctx, ch)
 				if !ok {
@@ -366,7 +340,7 @@
 
 // writeDisk appends what has gathered, syncs once for all of it, and says so. A
 // checkpoint goes out in parts between, so that it holds no change up for long.
-func (r *registrar) writeDisk(ctx context.Context) {
+func (r *Node) writeDisk(ctx context.Context) {
 	var ckpt []settle.Rec
 	under := false
 	for {
@@ -397,12 +371,12 @@
 	tightAt  = 750  // from here on new changes are refused until a checkpoint made room
 )
 
-func (r *registrar) append(bs []batch, ckpt *[]settle.Rec, under *bool) error {
+func (r *Node) append(bs []batch, ckpt *[]settle.Rec, under *bool) error {
 	var n uint64
 	for _, b := range bs {
 		if b.ckpt != nil {
 			f := *r.found.Load()
-			f.Inc = r.inc
+			f.Inc = r.Inc()
 			if err := r.ring.Begin(); err != nil {
 				return err
 			}
@@ -451,7 +425,7 @@
 	return nil
 }
 
-func (r *registrar) onDisk(now int64) {
+func (r *Node) onDisk(now int64) {
 	r.out(r.node.Synced(now, r.done.Load()))
 	if r.full.Load() && r.ckpting.CompareAndSwap(false, true) {
 		r.checkpoint()
@@ -459,12 +433,12 @@
 }
 
 // checkpoint queues the state behind all records it follows from.
-func (r *registrar) checkpoint() {
-	crew.Give(r.d.Crew.Context(), r.disk, batch{ckpt: r.node.Checkpoint()})
+func (r *Node) checkpoint() {
+	crew.Give(r.c.Context(), r.disk, batch{ckpt: r.node.Checkpoint()})
 }
 
 // do starts an operation here and waits for its answer.
-func (r *registrar) do(ctx context.Context, op settle.Op) (settle.Answer, bool) {
+func (r *Node) do(ctx context.Context, op settle.Op) (settle.Answer, bool) {
 	ch := make(chan settle.Answer, 1)
 	if !crew.Give(ctx, r.in, func(now int64) {
 		r.ops++
@@ -477,11 +451,29 @@
 	return crew.Wait(ctx, ch)
 }
 
-const maxHops = 2
+const (
+	maxHops   = 2
+	muteAfter = 400_000 // without word from an owner nothing is passed to it
+)
+
+// pass hands an operation on. One that may be repeated is not waited for long: its
+// owner may be gone, and whoever asked tries again (Node.Op).
+func (r *Node) pass(ctx context.Context, addr string, t *fb.OpAskT) *fb.OpTellT {
+	c := *t
+	c.Hops++
+	f, err := r.book.At(addr).Call(ctx, &fb.FrameT{OpAsk: &c}, lo.Ternary[int64](harmless(settle.OpKind(t.Kind)), 500_000, 2_000_000))
+	if err != nil || f.OpTell == nil {
+		return &fb.OpTellT{Status: byte(settle.Unknown)}
+	}
+	return f.OpTell
+}
 
 // op carries an operation to the owner of its key, which may be this node.
-func (r *registrar) op(ctx context.Context, t *fb.OpAskT) *fb.OpTellT {
+func (r *Node) op(ctx context.Context, t *fb.OpAskT) *fb.OpTellT {
 	if !r.up.Load() {
+		if via := r.another(); via != "" && t.Hops < maxHops {
+			return r.pass(ctx, via, t)
+		}
 		return &fb.OpTellT{Status: byte(settle.NotOwner)}
 	}
 	a, ok := r.do(ctx, settle.Op{Kind: settle.OpKind(t.Kind), Key: t.Key, Val: t.Val, Expect: t.Expect, Holder: t.Holder, Term: t.Term})
@@ -489,17 +481,16 @@
 		return &fb.OpTellT{Status: byte(settle.Unknown)}
 	}
 	if a.Status == settle.NotOwner && a.Owner != "" && a.Owner != r.s.Name && t.Hops < maxHops {
-		v, ok := lo.Find(r.found.Load().Voters, func(v *fb.VoterT) bool { return v.Name == a.Owner })
-		if !ok {
+		f := r.found.Load()
+		if f == nil || r.stats.Load().mute[a.Owner] {
+			// Nothing was sent, so that it is safe to say so and try again.
 			return &fb.OpTellT{Status: byte(settle.NotOwner)}
 		}
-		c := *t
-		c.Hops++
-		f, err := r.book.At(v.Addr).Call(ctx, &fb.FrameT{OpAsk: &c}, 2_000_000)
-		if err != nil || f.OpTell == nil {
-			return &fb.OpTellT{Status: byte(settle.Unknown)}
+		v, ok := lo.Find(f.Voters, func(v *fb.VoterT) bool { return v.Name == a.Owner })
+		if !ok {
+			return &fb.OpTellT{Status: byte(settle.NotOwner)}
 		}
-		return f.OpTell
+		return r.pass(ctx, v.Addr, t)
 	}
 	out := &fb.OpTellT{Status: byte(a.Status), Rev: a.Rev, Val: a.Val, Owner: a.Owner}
 	if t.Have != 0 && t.Have == a.Rev {
@@ -509,7 +500,14 @@
 }
 
 // handle answers frames from other processes.
-func (r *registrar) handle(ctx context.Context, f *fb.FrameT) *fb.FrameT {
+func (r *Node) handle(ctx context.Context, f *fb.FrameT) *fb.FrameT {
+	if p := r.frames.Load(); p != nil {
+		for _, h := range *p {
+			if a := h(ctx, f); a != nil {
+				return a
+			}
+		}
+	}
 	now := clock.Now()
 	switch {
 	case f.Settle != nil:
@@ -522,8 +520,7 @@
 		r.roll.Hear(now, f.RollTell)
 		return nil
 	case f.FoundAsk != nil:
-		t := &fb.FoundTellT{Name: r.s.Name, Inc: r.inc, Blank: r.found.Load() == nil, Founding: r.found.Load()}
-		return &fb.FrameT{FoundTell: t}
+		return &fb.FrameT{FoundTell: r.foundTell(f.FoundAsk)}
 	case f.BeatAsk != nil && f.BeatAsk.Node != nil:
 		r.roll.Beat(now, f.BeatAsk.Node)
 		return &fb.FrameT{BeatTell: r.beatTell(now, f.BeatAsk.Have)}
@@ -538,7 +535,7 @@
 const planKey = "plan"
 
 // refresh asks the plan's owner anew; the age counts from before the question.
-func (r *registrar) refresh(ctx context.Context) {
+func (r *Node) refresh(ctx context.Context) {
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(700_000))
 	defer stop()
 	c := r.cache.Load()
@@ -564,20 +561,20 @@
 }
 
 // another is the address of another voter, one after the other.
-func (r *registrar) another() string {
-	f := r.found.Load()
-	if f == nil {
-		return ""
+func (r *Node) another() string {
+	var as []string
+	if f := r.found.Load(); f != nil {
+		as = lo.Without(addrs(f), r.s.Wire)
+	} else {
+		as = r.knows()
 	}
-	vs := lo.Filter(f.Voters, func(v *fb.VoterT, _ int) bool { return v.Name != r.s.Name })
-	if len(vs) == 0 {
+	if len(as) == 0 {
 		return ""
 	}
-	r.turns++
-	return vs[r.turns%len(vs)].Addr
+	return as[r.turns.Add(1)%uint64(len(as))]
 }
 
-func (r *registrar) beatTell(now int64, have uint64) *fb.BeatTellT {
+func (r *Node) beatTell(now int64, have uint64) *fb.BeatTellT {
 	c := r.cache.Load()
 	t := &fb.BeatTellT{Rev: c.Rev, Age: c.Age(now), Fresh: c.Known, Nodes: r.roll.Live(now), Era: r.era.Load()}
 	if c.Rev != have {
--- /dev/null
+++ b/internal/app/steward/port.go
@@ -0,0 +1,74 @@
+// Package steward is the part of a core machine that follows the engines of a fleet
+// whose requests are passed through: which there are, what they keep, which weights
+// they run. It tells proxies, and brings engines to new weights (design §12, §15).
+package steward
+
+import (
+	"context"
+
+	"violetthread/schema/fb"
+)
+
+// Listed is an engine as the platform lists it.
+type Listed struct {
+	ID, Pool, Addr, Site string
+	Draining             bool
+	Slots                int
+	Weights              map[string]uint64
+}
+
+// Order tells an engine to change its weights. Holder and Fence are the duty's.
+type Order struct {
+	Engine, Addr, Model string
+	Version             uint64
+	Holder              string
+	Fence               uint64
+}
+
+// Taken is how an engine answered an order.
+type Taken uint8
+
+// Unheard: no answer, it may have been taken. Doing: under way. Holds: in force already.
+// Busy: another order is under way. Fenced: a higher fence was seen. Refused: not this
+// engine, or no such order.
+const (
+	Unheard Taken = iota
+	Doing
+	Holds
+	Busy
+	Fenced
+	Refused
+)
+
+// Change is one piece of an engine's news about what it keeps.
+type Change struct {
+	Kept              bool
+	Salt, Part, Model string
+}
+
+// Page is an engine's answer to a question for news.
+type Page struct {
+	Epoch   string
+	Next    string
+	Missing bool
+	Changes []Change
+}
+
+// Platform is what the platform and its engines are asked for.
+type Platform interface {
+	List(ctx context.Context) ([]Listed, error)
+	Order(ctx context.Context, o Order) Taken
+	// Running is an engine's own word on its weights, and whether it is changing them.
+	Running(ctx context.Context, addr string) (weights map[string]uint64, busy bool, err error)
+	// News asks an engine or store for what changed after since, and may be held for wait.
+	News(ctx context.Context, addr, since string, waitUS int64) (Page, error)
+}
+
+// Control is the control node beside it.
+type Control interface {
+	Op(ctx context.Context, t *fb.OpAskT) *fb.OpTellT
+	Once(ctx context.Context, t *fb.OpAskT) *fb.OpTellT
+	Voters() []string
+	Live(now int64) []*fb.NodeT
+	Heard(now int64, n *fb.NodeT)
+}
--- /dev/null
+++ b/internal/app/steward/steward.go
@@ -0,0 +1,416 @@
+package steward
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"violetthread/cue"
+	"violetthread/internal/clock"
+	"violetthread/internal/crew"
+	"violetthread/placement"
+	"violetthread/rollout"
+	"violetthread/route"
+	"violetthread/schema/fb"
+	"violetthread/settle"
+)
+
+// RolloutKey is the register that holds who is turning to new weights.
+const RolloutKey = "route/rollout"
+
+// Settings of a steward. Times are microseconds.
+type Settings struct {
+	Name, Site string
+	Bounds     route.Bounds
+	ListEvery  int64 // between two questions for the platform's list
+	// Parse reads an operator's text; the table is nil if it can't be read.
+	Parse func(val []byte, rev uint64) *route.Table
+}
+
+const (
+	refreshEvery = 150_000
+	conductEvery = 150_000
+	newsPause    = 150_000 // between questions to one engine, so that news comes in lots
+	newsHold     = 900_000
+	holdMost     = 400_000
+	darkAfter    = 2 // questions in a row that failed, until an engine counts as down
+)
+
+// Steward is one core machine's part.
+type Steward struct {
+	s    Settings
+	log  logr.Logger
+	crew *crew.Crew
+	ctl  Control
+	pf   Platform
+	inc  uint64
+
+	mu      sync.Mutex
+	bell    chan struct{} // closed when something urgent changed
+	conf    register
+	named   register
+	roll    register
+	table   *route.Table
+	listed  []Listed
+	listAt  int64
+	mapRev  uint64
+	state   rollout.State
+	wanted  map[string]uint64           // newest version named of each model
+	first   map[string]map[uint64]int64 // model, version: when first heard of
+	readers map[string]*reader
+	box     *cue.Outbox
+	kept    map[uint64]map[cue.Key]bool
+	dealer  *dealer
+}
+
+// register is a key of the control state as last vouched for.
+type register struct {
+	known bool
+	rev   uint64
+	val   []byte
+	at    int64
+}
+
+// New makes a steward and starts its loops on the crew.
+func New(c *crew.Crew, s Settings, ctl Control, pf Platform) *Steward {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err) // no machine of ours is without random numbers
+	}
+	t := &Steward{s: s, log: c.Log(), crew: c, ctl: ctl, pf: pf, inc: binary.LittleEndian.Uint64(b[:])>>24 | 1,
+		bell: make(chan struct{}), first: map[string]map[uint64]int64{}, readers: map[string]*reader{}, kept: map[uint64]map[cue.Key]bool{}, mapRev: 1}
+	t.box = cue.NewOutbox(t.inc, 1<<13, t.allKept)
+	t.dealer = &dealer{looked: map[string]int64{}, holder: fmt.Sprintf("%s#%x", s.Name, t.inc)}
+	every := func(name string, us int64, f func(context.Context)) {
+		c.Go(name, func(ctx context.Context) { crew.Every(ctx, clock.Micros(us), f) })
+	}
+	every("steward.registers", refreshEvery, t.refresh)
+	every("steward.list", s.ListEvery, t.list)
+	every("steward.conduct", conductEvery, t.conduct)
+	return t
+}
+
+// ring tells all who wait that something urgent changed. Called under the lock.
+func (t *Steward) ring() {
+	close(t.bell)
+	t.bell = make(chan struct{})
+}
+
+// refresh reads the registers anew; ages count from before the question.
+func (t *Steward) refresh(ctx context.Context) {
+	t.read(ctx, route.ConfigKey, &t.conf, func(v []byte, rev uint64) {
+		if tab := t.s.Parse(v, rev); tab != nil {
+			t.table = tab
+		}
+	})
+	t.read(ctx, route.WeightsKey, &t.named, func(v []byte, _ uint64) {
+		d, err := route.ReadWeights(v)
+		if err != nil {
+			return
+		}
+		now := clock.Now()
+		t.wanted = newestOf(d)
+		for m, w := range t.wanted {
+			if t.first[m] == nil {
+				t.first[m] = map[uint64]int64{}
+			}
+			if _, ok := t.first[m][w]; !ok {
+				t.first[m][w] = now
+			}
+		}
+	})
+	t.read(ctx, RolloutKey, &t.roll, func(v []byte, _ uint64) {
+		if s, err := rollout.Read(v); err == nil {
+			t.state = s
+		}
+	})
+}
+
+// Refresh reads the registers at once, for whoever has just changed one.
+func (t *Steward) Refresh(ctx context.Context) { t.refresh(ctx) }
+
+func (t *Steward) read(ctx context.Context, key string, r *register, take func([]byte, uint64)) {
+	ctx, stop := context.WithTimeout(ctx, clock.Micros(700_000))
+	defer stop()
+	t.mu.Lock()
+	have := r.rev
+	t.mu.Unlock()
+	at := clock.Now()
+	a := t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(settle.OpGet), Key: key, Have: have})
+	if settle.Status(a.Status) != settle.Done {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.known && a.Rev < r.rev {
+		return
+	}
+	fresh := a.Rev != r.rev && len(a.Val) > 0
+	if a.Rev != r.rev && !fresh {
+		return // its value did not come along
+	}
+	r.known, r.rev, r.at = true, a.Rev, max(r.at, at)
+	if fresh {
+		r.val = a.Val
+		take(a.Val, a.Rev)
+		t.mapRev++
+		t.ring()
+	}
+}
+
+// list asks the platform which engines there are.
+func (t *Steward) list(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, clock.Micros(900_000))
+	defer stop()
+	at := clock.Now()
+	l, err := t.pf.List(ctx)
+	if err != nil {
+		return
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listAt = at
+	if !slices.EqualFunc(l, t.listed, func(a, b Listed) bool {
+		return a.ID == b.ID && a.Addr == b.Addr && a.Pool == b.Pool && a.Draining == b.Draining && maps.Equal(a.Weights, b.Weights)
+	}) {
+		t.listed = l
+		t.mapRev++
+		t.ring()
+	}
+	t.follow()
+}
+
+// storeID names a store in the map.
+func storeID(addr string) string { return "store " + addr }
+
+// follow makes sure that every engine and store has a reader, and nobody else.
+// Called under the lock.
+func (t *Steward) follow() {
+	want := map[string]string{}
+	node := map[string]uint64{}
+	if t.table != nil {
+		for _, p := range t.table.Stores() {
+			want[storeID(p.Store)], node[storeID(p.Store)] = p.Store, placement.StoreNode(p.Store)
+		}
+		for _, e := range t.listed {
+			if p := t.table.Pool(e.Pool); p != nil && len(p.Models) > 0 {
+				want[e.ID], node[e.ID] = e.Addr, placement.EngineNode(e.ID)
+			}
+		}
+	}
+	for id, r := range t.readers {
+		if _, ok := want[id]; !ok {
+			r.stop()
+			delete(t.readers, id)
+			t.forget(r.node)
+		}
+	}
+	for id, addr := range want {
+		if t.readers[id] == nil {
+			ctx, stop := context.WithCancel(t.crew.Context())
+			r := &reader{t: t, id: id, addr: addr, node: node[id], stop: stop}
+			t.readers[id] = r
+			t.crew.Go("steward.news", func(context.Context) { r.run(ctx) })
+		}
+	}
+}
+
+// forget drops all that a holder held. Called under the lock.
+func (t *Steward) forget(node uint64) {
+	for k := range t.kept[node] {
+		t.box.Add(cue.News{Key: k, Node: node, Op: cue.Drop})
+	}
+	delete(t.kept, node)
+}
+
+func (t *Steward) allKept() []cue.News {
+	var ns []cue.News
+	for n, ks := range t.kept {
+		for k := range ks {
+			ns = append(ns, cue.News{Key: k, Node: n, Op: cue.Load})
+		}
+	}
+	return ns
+}
+
+// reader follows what one engine or store keeps.
+type reader struct {
+	t     *Steward
+	id    string
+	addr  string
+	node  uint64
+	stop  context.CancelFunc
+	epoch string
+	since string
+	bad   int // questions in a row that failed
+}
+
+func (r *reader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		q, stop := context.WithTimeout(ctx, clock.Micros(newsHold+400_000))
+		p, err := r.t.pf.News(q, r.addr, r.since, newsHold)
+		stop()
+		if ctx.Err() != nil {
+			return
+		}
+		r.t.mu.Lock()
+		was := r.bad >= darkAfter
+		if err != nil {
+			r.bad++
+		} else {
+			r.bad = 0
+			r.take(p)
+		}
+		if is := r.bad >= darkAfter; is != was {
+			r.t.mapRev++
+			r.t.ring()
+		}
+		r.t.mu.Unlock()
+		if !crew.Pause(ctx, newsPause) {
+			return
+		}
+	}
+}
+
+func (r *reader) take(p Page) {
+	t := r.t
+	if p.Epoch != r.epoch {
+		if r.epoch != "" {
+			t.forget(r.node) // another life of it
+		}
+		if r.epoch != "" && len(p.Changes) == 0 && r.since != "" {
+			// Its numbers began anew: ask from the start.
+			r.epoch, r.since = p.Epoch, ""
+			return
+		}
+		r.epoch = p.Epoch
+	}
+	r.since = p.Next
+	ks := t.kept[r.node]
+	if ks == nil {
+		ks = map[cue.Key]bool{}
+		t.kept[r.node] = ks
+	}
+	for _, c := range p.Changes {
+		k := cue.PartKey(c.Salt, c.Model, c.Part)
+		if c.Kept == ks[k] {
+			continue
+		}
+		op := cue.Load
+		if c.Kept {
+			ks[k] = true
+		} else {
+			delete(ks, k)
+			op = cue.Drop
+		}
+		t.box.Add(cue.News{Key: k, Node: r.node, Op: op})
+	}
+}
+
+// Handle answers proxies. Anything else is not its own.
+func (t *Steward) Handle(ctx context.Context, f *fb.FrameT) *fb.FrameT {
+	if f.MapAsk == nil {
+		return nil
+	}
+	q := f.MapAsk
+	now := clock.Now()
+	if q.Node != nil {
+		t.ctl.Heard(now, q.Node)
+	}
+	end := now + min(max(q.Hold, 0), holdMost)
+	for {
+		t.mu.Lock()
+		bell := t.bell
+		urgent := t.conf.known && q.Have != t.conf.rev || q.Inc != t.inc || q.Map != t.mapRev
+		t.mu.Unlock()
+		left := end - clock.Now()
+		if urgent || left <= 0 {
+			break
+		}
+		w, stop := context.WithTimeout(ctx, clock.Micros(left))
+		crew.Wait(w, bell)
+		stop()
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	return &fb.FrameT{MapTell: t.tell(q, now)}
+}
+
+func (t *Steward) tell(q *fb.MapAskT, asked int64) *fb.MapTellT {
+	voters, live := t.ctl.Voters(), t.ctl.Live(clock.Now())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := clock.Now()
+	a := &fb.MapTellT{Inc: t.inc, Site: t.s.Site, Held: now - asked, Known: t.conf.known, Rev: t.conf.rev, Age: now - t.conf.at,
+		Map: t.mapRev, ListAge: now - t.listAt, Voters: voters}
+	if q.Have != t.conf.rev {
+		a.Config = t.conf.val
+	}
+	for _, n := range live {
+		if n.Role == "carrier" {
+			a.Proxies++
+		}
+	}
+	if q.Inc != t.inc || q.Map != t.mapRev {
+		a.Whole = true
+		a.Engines = t.engines()
+	}
+	for m, w := range t.wanted {
+		a.Named = append(a.Named, &fb.NamedT{Model: m, Version: w, Age: now - t.first[m][w]})
+	}
+	sort.Slice(a.Named, func(i, j int) bool { return a.Named[i].Model < a.Named[j].Model })
+	b := t.box.Since(q.NewsInc, q.NewsSince, 4096)
+	a.NewsInc, a.NewsNext, a.NewsReset = b.Inc, b.Next, b.Reset
+	for _, n := range b.News {
+		a.News = append(a.News, &fb.NewsT{Hi: n.Key.Hi, Lo: n.Key.Lo, Check: n.Key.Check, Node: n.Node, Op: byte(n.Op)})
+	}
+	return a
+}
+
+// newestOf is the newest named version of each model.
+func newestOf(d *route.WeightsDoc) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, m := range d.Models {
+		out[m.Model] = d.Newest(m.Model)
+	}
+	return out
+}
+
+// engines is the map as proxies see it, stores included.
+func (t *Steward) engines() (out []*fb.MapEngineT) {
+	down := func(id string) bool { r := t.readers[id]; return r != nil && r.bad >= darkAfter }
+	for _, e := range t.listed {
+		x := &fb.MapEngineT{Id: e.ID, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining, Slots: uint32(e.Slots), Down: down(e.ID)}
+		ms := slices.Sorted(maps.Keys(e.Weights))
+		for _, m := range ms {
+			x.Weights = append(x.Weights, &fb.ModelAtT{Model: m, Version: t.state.Version(e.ID, m, e.Weights[m])})
+		}
+		_, x.Turning = t.state.Turns[e.ID]
+		out = append(out, x)
+	}
+	if t.table != nil {
+		for _, p := range t.table.Stores() {
+			out = append(out, &fb.MapEngineT{Id: storeID(p.Store), Addr: p.Store, Site: p.Site, Store: true, Down: down(storeID(p.Store))})
+		}
+	}
+	return out
+}
+
+// Describe is a line for operators and the log.
+func (t *Steward) Describe() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return strings.Join([]string{"config=" + strconv.FormatUint(t.conf.rev, 10), "engines=" + strconv.Itoa(len(t.listed)),
+		"turning=" + strconv.Itoa(len(t.state.Turns))}, " ")
+}
--- a/internal/base/daemon.go
+++ b/internal/base/daemon.go
@@ -8,6 +8,7 @@
 	"os"
 	"regexp"
 	"runtime/pprof"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -74,7 +75,7 @@
 	app           atomic.Pointer[kratos.App]
 	ready         atomic.Pointer[string] // why it is not ready; nil when it is
 	stopping      atomic.Bool
-	drain         func(ctx context.Context)
+	drain         []func(ctx context.Context)
 	onStop        []func()
 	drainFor      time.Duration
 }
@@ -138,8 +139,9 @@
 // Stopping reports whether a polite stop is under way.
 func (d *Daemon) Stopping() bool { return d.stopping.Load() }
 
-// OnDrain sets what finishes running work on a polite stop.
-func (d *Daemon) OnDrain(f func(ctx context.Context)) { d.drain = f }
+// OnDrain adds what finishes running work on a polite stop; what was added last
+// comes first.
+func (d *Daemon) OnDrain(f func(ctx context.Context)) { d.drain = append(d.drain, f) }
 
 // Profile writes a processor profile until the daemon has stopped.
 func (d *Daemon) Profile(path string) error {
@@ -171,10 +173,10 @@
 			d.stopping.Store(true)
 			d.SetReady("stopping")
 			d.Log.Info("stopping", "drain_us", d.drainFor.Microseconds())
-			if d.drain != nil {
-				ctx, stop := context.WithTimeout(context.Background(), d.drainFor)
-				defer stop()
-				d.drain(ctx)
+			ctx, stop := context.WithTimeout(context.Background(), d.drainFor)
+			defer stop()
+			for _, f := range slices.Backward(d.drain) {
+				f(ctx)
 			}
 			return nil
 		}))
--- /dev/null
+++ b/internal/rig/core_test.go
@@ -0,0 +1,289 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"violetthread/internal/app/registrar"
+	"violetthread/internal/clock"
+	"violetthread/internal/crew"
+	"violetthread/schema/fb"
+	"violetthread/settle"
+)
+
+// core is a few real registrars over loopback that come, go and lose their disks.
+type core struct {
+	t     *testing.T
+	ports []string
+	seeds []string
+	m     map[string]*machine
+}
+
+type machine struct {
+	s    registrar.Settings
+	node *registrar.Node
+	over sync.WaitGroup
+}
+
+// newCore makes n machines named a, b, c...; the first three are the seeds.
+func newCore(t *testing.T, n int) *core {
+	c := &core{t: t, ports: ports(t, 40), m: map[string]*machine{}}
+	var names []string
+	for i := 0; i < n; i++ {
+		names = append(names, string(rune('a'+i)))
+		c.machine(names[i])
+		if i < 3 {
+			c.seeds = append(c.seeds, c.m[names[i]].s.Wire)
+		}
+	}
+	for _, n := range names {
+		c.start(n, true)
+	}
+	t.Cleanup(func() {
+		for n := range c.m {
+			c.kill(n)
+		}
+	})
+	return c
+}
+
+func (c *core) port() string { p := c.ports[0]; c.ports = c.ports[1:]; return p }
+
+func (c *core) machine(name string) {
+	s := registrar.Defaults()
+	s.Name, s.Site, s.HTTP, s.Wire, s.Data, s.Drain = name, "north", c.port(), c.port(), c.t.TempDir(), 0
+	s.RingFiles, s.RingBytes, s.Patience = 16, 256<<10, 2_500_000
+	c.m[name] = &machine{s: s}
+}
+
+func (c *core) start(name string, found bool) {
+	c.t.Helper()
+	m := c.m[name]
+	m.s.Found, m.s.Seeds = found, c.seeds
+	n, err := registrar.Make(m.s)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	m.node = n
+	m.over.Add(1)
+	d := n.Daemon()
+	crew.New(context.Background(), d.Log).Go("machine", func(context.Context) {
+		defer m.over.Done()
+		_ = d.Run()
+	})
+}
+
+// kill ends a machine without a word to the others.
+func (c *core) kill(names ...string) {
+	for _, n := range names {
+		if m := c.m[n]; m.node != nil {
+			m.node.Daemon().Crew.Stop()
+		}
+	}
+	for _, n := range names {
+		m := c.m[n]
+		if m.node == nil {
+			continue
+		}
+		m.node.Daemon().Stop()
+		m.over.Wait()
+		m.node = nil
+	}
+}
+
+func (c *core) wipe(name string) {
+	if err := os.RemoveAll(c.m[name].s.Data); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// until waits for a condition and returns how long it took.
+func (c *core) until(what string, from time.Time, f func() bool) time.Duration {
+	c.t.Helper()
+	tick, end := time.NewTicker(5*time.Millisecond), time.After(20*time.Second)
+	defer tick.Stop()
+	for !f() {
+		select {
+		case <-tick.C:
+		case <-end:
+			c.t.Fatalf("waited in vain until %s", what)
+		}
+	}
+	return time.Since(from)
+}
+
+// whole tells whether exactly these machines are the roster and vote, and every slot
+// is owned.
+func (c *core) whole(names ...string) bool {
+	for _, n := range names {
+		x := c.m[n].node
+		if !x.Up() || len(x.Voters()) != len(names) {
+			return false
+		}
+		for _, n := range names {
+			in := false
+			for _, a := range x.Voters() {
+				in = in || a == c.m[n].s.Wire
+			}
+			if !in {
+				return false
+			}
+		}
+	}
+	return c.owned(names[0])
+}
+
+// owned tells whether every slot answers, as asked through one machine.
+func (c *core) owned(name string) bool {
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	seen := map[uint16]bool{}
+	for i := 0; len(seen) < 16; i++ {
+		k := fmt.Sprint("key", i)
+		if s := settle.SlotOf(k, 16); !seen[s] {
+			if a := c.m[name].node.Once(ctx, &fb.OpAskT{Kind: byte(settle.OpGet), Key: k}); settle.Status(a.Status) != settle.Done {
+				return false
+			}
+			seen[s] = true
+		}
+	}
+	return true
+}
+
+func (c *core) put(name, key, val string) {
+	c.t.Helper()
+	if a := c.m[name].node.Op(context.Background(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: key, Val: []byte(val), Expect: settle.AnyRev}); settle.Status(a.Status) != settle.Done {
+		c.t.Fatalf("putting %s at %s ended in %d", key, name, a.Status)
+	}
+}
+
+func (c *core) reads(name, key, val string) {
+	c.t.Helper()
+	if a := c.m[name].node.Op(context.Background(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: key}); settle.Status(a.Status) != settle.Done || string(a.Val) != val {
+		c.t.Fatalf("reading %s at %s ended in %d: %q, not %q", key, name, a.Status, a.Val, val)
+	}
+}
+
+// bound fails when something took longer than the fleet promises.
+func (c *core) bound(what string, took, most time.Duration) {
+	c.t.Helper()
+	c.t.Logf("%s: %d ms", what, took.Milliseconds())
+	if took > most {
+		c.t.Errorf("%s took %v, more than %v", what, took, most)
+	}
+}
+
+// TestCoreFoundsItself: the seeds found the fleet, the others join; then a machine
+// loses its disk, all lose their power, and one dies.
+func TestCoreFoundsItself(t *testing.T) {
+	for _, n := range []int{3, 4, 5} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			at := time.Now()
+			c := newCore(t, n)
+			var all []string
+			for i := 0; i < n; i++ {
+				all = append(all, string(rune('a'+i)))
+			}
+			c.bound("founded and joined", c.until("the fleet is whole", at, func() bool { return c.whole(all...) }), 3*time.Second)
+			c.put("b", "plan", "v1")
+
+			for _, x := range []string{"c", "a"} {
+				inc := c.m[x].node.Inc()
+				c.kill(x)
+				c.wipe(x)
+				at = time.Now()
+				c.start(x, false)
+				c.bound("a wiped machine is back", c.until("the wiped one is back", at, func() bool { return c.whole(all...) }), 3*time.Second)
+				if c.m[x].node.Inc() == inc {
+					t.Fatal("an emptied disk has its former incarnation")
+				}
+				c.reads(x, "plan", "v1")
+			}
+
+			c.put("c", "plan", "v2")
+			c.kill(all...)
+			at = time.Now()
+			for _, x := range all {
+				c.start(x, false)
+			}
+			c.bound("all were killed and are back", c.until("all are back", at, func() bool { return c.whole(all...) }), 4*time.Second)
+			c.reads("a", "plan", "v2")
+
+			at = time.Now()
+			c.kill("b")
+			c.bound("one was killed and its slots are owned", c.until("its slots are owned", at, func() bool { return c.owned("a") }), 3*time.Second)
+			c.put("a", "plan", "v3")
+			if len(c.m["a"].node.Voters()) != n {
+				t.Fatal("a voter was removed for its silence alone")
+			}
+			at = time.Now()
+			c.start("b", false)
+			c.bound("it is back", c.until("it is back", at, func() bool { return c.whole(all...) }), 3*time.Second)
+			c.reads("b", "plan", "v3")
+		})
+	}
+}
+
+// TestCoreReplacesMachines: one goes for good and another comes in its place, at an
+// address that no seed names; the former one returns with its old disk and joins anew,
+// and never votes with its old number.
+func TestCoreReplacesMachines(t *testing.T) {
+	for _, n := range []int{3, 4} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := newCore(t, n)
+			all := []string{"a", "b", "c", "d"}[:n]
+			c.until("the fleet is whole", time.Now(), func() bool { return c.whole(all...) })
+			c.put("b", "plan", "v1")
+			inc := c.m["a"].node.Inc()
+			c.kill("a")
+			c.machine("z")
+			at := time.Now()
+			c.start("z", false)
+			now := append([]string{"z"}, all[1:]...)
+			c.bound("another is in its place", c.until("another is in its place", at, func() bool { return c.whole(now...) }), 4*time.Second)
+			c.reads("z", "plan", "v1")
+			c.put("z", "plan", "v2")
+
+			at = time.Now()
+			c.start("a", false)
+			now = append(now, "a")
+			c.bound("the former one joins anew", c.until("the former one joins anew", at, func() bool { return c.whole(now...) }), 3*time.Second)
+			if c.m["a"].node.Inc() == inc {
+				t.Fatal("it votes with its former number")
+			}
+			c.reads("a", "plan", "v2")
+			for _, x := range now {
+				if c.m[x].node.Live(clock.Now()) != nil {
+					t.Fatal("members out of nowhere")
+				}
+			}
+			// The retired disk keeps its new number over a restart.
+			inc = c.m["a"].node.Inc()
+			c.kill("a")
+			at = time.Now()
+			c.start("a", false)
+			c.bound("it is back after a restart", c.until("it is back", at, func() bool { return c.whole(now...) }), 3*time.Second)
+			if c.m["a"].node.Inc() != inc {
+				t.Fatal("a retired disk changed its number once more")
+			}
+		})
+	}
+}
+
+// TestCoreFindsTheLost: a machine whose disk was lost has seeds that are all stale. The
+// voters know its address, and it learns from them whom to ask.
+func TestCoreFindsTheLost(t *testing.T) {
+	c := newCore(t, 4)
+	all := []string{"a", "b", "c", "d"}
+	c.until("the fleet is whole", time.Now(), func() bool { return c.whole(all...) })
+	c.kill("d")
+	c.wipe("d")
+	c.seeds = []string{c.port(), c.port()}
+	at := time.Now()
+	c.start("d", false)
+	c.bound("found by the others", c.until("it is back", at, func() bool { return c.whole(all...) }), 4*time.Second)
+}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -152,11 +152,7 @@
 		s := registrar.Defaults()
 		s.Name, s.Site, s.HTTP, s.Wire, s.Found, s.Data = fmt.Sprint("registrar", i), sites[i], next(), wires[i], true, fmt.Sprintf("%s/r%d", dir, i)
 		s.RingFiles, s.RingBytes, s.Drain = 8, 256<<10, 0
-		for j, w := range wires {
-			if j != i {
-				s.Seeds = append(s.Seeds, w)
-			}
-		}
+		s.Seeds = wires[:3] // the fourth joins
 		s.Disk = func(fs depository.FS) depository.FS {
 			r.disks = append(r.disks, newSick(fs))
 			return r.disks[len(r.disks)-1]
--- /dev/null
+++ b/rollout/rollout.go
@@ -0,0 +1,261 @@
+// Package rollout brings engines to the newest weights: a few at a time, spread over
+// sites, all of them within the time that a deployment allows (design §15). It is
+// pure: whoever holds the duty feeds it the map and carries its steps out.
+package rollout
+
+import (
+	"encoding/json"
+	"sort"
+)
+
+// Engine is what the conductor knows of one life of an engine.
+type Engine struct {
+	ID, Addr, Pool, Site string
+	Draining             bool
+	Weights              map[string]uint64 // as last reported
+	At                   int64             // of that report
+}
+
+// Phase is how far an engine's turn has come.
+type Phase uint8
+
+// Parting: proxies are told to send it nothing new. Ordered: the order went out.
+const (
+	Parting Phase = iota + 1
+	Ordered
+)
+
+// Turn is an engine that is changing its weights. Since and Told are in the
+// conductor's own time and are not kept.
+type Turn struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+	Phase   Phase  `json:"phase"`
+	Since   int64  `json:"-"`
+	Told    int64  `json:"-"`
+	Tells   int    `json:"-"`
+}
+
+// State is what is kept of a roll-out in the control state, so that every node sees
+// who is turning, and a new conductor takes it up where the last one left it.
+type State struct {
+	Turns map[string]Turn              `json:"turns"` // by engine
+	Done  map[string]map[string]uint64 `json:"done"`  // engine, model: version known to be in force
+}
+
+// Bytes is a state as its register holds it.
+func (s State) Bytes() []byte {
+	b, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // plain strings and numbers
+	}
+	return b
+}
+
+// Read reads a register's state.
+func Read(b []byte) (State, error) {
+	var s State
+	if len(b) == 0 {
+		return s, nil
+	}
+	err := json.Unmarshal(b, &s)
+	return s, err
+}
+
+// Version is what an engine runs, from its reports and from what is known done.
+func (s State) Version(id, model string, reported uint64) uint64 {
+	return max(reported, s.Done[id][model])
+}
+
+// Figures bound a roll-out. Times are microseconds.
+type Figures struct {
+	Within  int64 // of the naming, for every engine
+	Part    int64 // proxies are told so long before an order goes out
+	Each    int64 // what one engine's turn is expected to take, before any was seen
+	Least   int   // turns under way at one time, when there is time enough
+	Again   int64 // an order without an answer is said again
+	Patient int64 // a turn that takes longer no longer counts against the others
+}
+
+// Defaults are the daemons' figures for a bound.
+func Defaults(within int64) Figures {
+	return Figures{Within: within, Part: 350_000, Each: 2_300_000, Least: 2, Again: 1_500_000, Patient: 6_000_000}
+}
+
+// Conductor works out what is to be done. It is not safe for concurrent use.
+type Conductor struct {
+	F     Figures
+	S     State
+	named map[string]naming
+	each  int64
+}
+
+type naming struct {
+	version uint64
+	at      int64
+}
+
+// New makes a conductor that goes on from s.
+func New(f Figures, now int64, s State) *Conductor {
+	c := &Conductor{F: f, S: s, named: map[string]naming{}, each: f.Each}
+	if c.S.Turns == nil {
+		c.S.Turns = map[string]Turn{}
+	}
+	if c.S.Done == nil {
+		c.S.Done = map[string]map[string]uint64{}
+	}
+	for id, t := range c.S.Turns {
+		t.Since = now
+		c.S.Turns[id] = t
+	}
+	return c
+}
+
+// Name takes in the newest version of a model, and since when it is known.
+func (c *Conductor) Name(model string, version uint64, at int64) {
+	if n := c.named[model]; n.version < version {
+		c.named[model] = naming{version, at}
+	}
+}
+
+// Order is a step to carry out: tell the engine.
+type Order struct {
+	Engine, Addr, Model string
+	Version             uint64
+}
+
+// Step looks at the engines and returns the orders to send now, the engines to look
+// at closely, and whether the state changed and must be kept before any order goes.
+func (c *Conductor) Step(now int64, es []Engine) (orders []Order, look []string, changed bool) {
+	live := map[string]Engine{}
+	for _, e := range es {
+		live[e.ID] = e
+	}
+	for id, t := range c.S.Turns {
+		e, ok := live[id]
+		switch {
+		case !ok:
+			delete(c.S.Turns, id)
+			changed = true
+		case c.S.Version(id, t.Model, e.Weights[t.Model]) >= t.Version:
+			c.done(id, t.Model, t.Version)
+			if t.Phase == Ordered {
+				c.each += (now - t.Since - c.each) / 4
+			}
+			delete(c.S.Turns, id)
+			changed = true
+		}
+	}
+	for id := range c.S.Done {
+		if _, ok := live[id]; !ok {
+			delete(c.S.Done, id)
+			changed = true
+		}
+	}
+	behind := c.behind(live)
+	under := 0
+	for _, t := range c.S.Turns {
+		if now-t.Since < c.F.Patient {
+			under++
+		}
+	}
+	for _, b := range behind {
+		if _, is := c.S.Turns[b.ID]; is || under >= c.atOnce(now, len(behind), b.model) {
+			continue
+		}
+		c.S.Turns[b.ID] = Turn{Model: b.model, Version: c.named[b.model].version, Phase: Parting, Since: now}
+		under++
+		changed = true
+	}
+	for id, t := range c.S.Turns {
+		n := c.named[t.Model].version
+		switch {
+		case t.Phase == Parting && now-t.Since >= c.F.Part:
+			t.Phase, t.Version, t.Told, t.Tells = Ordered, max(n, t.Version), now, 1
+			c.S.Turns[id] = t
+			changed = true
+			orders = append(orders, Order{id, live[id].Addr, t.Model, t.Version})
+		case t.Phase == Ordered && now-t.Told >= c.F.Again<<min(t.Tells, 2)/2:
+			t.Told, t.Tells = now, t.Tells+1
+			c.S.Turns[id] = t
+			orders = append(orders, Order{id, live[id].Addr, t.Model, t.Version})
+		}
+		if t.Phase == Ordered {
+			look = append(look, id)
+		}
+	}
+	sort.Slice(orders, func(i, j int) bool { return orders[i].Engine < orders[j].Engine })
+	sort.Strings(look)
+	return orders, look, changed
+}
+
+// Seen takes in an engine's own word, fresher than the map's.
+func (c *Conductor) Seen(id, model string, version uint64) {
+	if version > c.S.Done[id][model] {
+		c.done(id, model, version)
+	}
+}
+
+// Refused takes an order back that the engine can't take now.
+func (c *Conductor) Refused(now int64, id string) {
+	if t, ok := c.S.Turns[id]; ok && t.Phase == Ordered {
+		t.Told = now - c.F.Again + 300_000
+		t.Tells = 0
+		c.S.Turns[id] = t
+	}
+}
+
+func (c *Conductor) done(id, model string, version uint64) {
+	m := c.S.Done[id]
+	if m == nil {
+		m = map[string]uint64{}
+		c.S.Done[id] = m
+	}
+	m[model] = max(m[model], version)
+}
+
+type late struct {
+	Engine
+	model string
+}
+
+// behind lists the engines that run something older, sites by turns.
+func (c *Conductor) behind(live map[string]Engine) (out []late) {
+	sites := map[string][]late{}
+	n := 0
+	for _, e := range live {
+		if e.Draining {
+			continue
+		}
+		for m, v := range e.Weights {
+			if w := c.named[m]; c.S.Version(e.ID, m, v) < w.version {
+				sites[e.Site] = append(sites[e.Site], late{e, m})
+				n++
+				break
+			}
+		}
+	}
+	var names []string
+	for s, l := range sites {
+		names = append(names, s)
+		sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
+	}
+	sort.Strings(names)
+	for i := 0; len(out) < n; i++ {
+		for _, s := range names {
+			if i < len(sites[s]) {
+				out = append(out, sites[s][i])
+			}
+		}
+	}
+	return out
+}
+
+// atOnce is how many turns must be under way so that all end in time.
+func (c *Conductor) atOnce(now int64, n int, model string) int {
+	left := c.F.Within*7/10 - (now - c.named[model].at)
+	if left <= c.each {
+		return max(c.F.Least, n)
+	}
+	return max(c.F.Least, int((int64(n)*c.each+left-1)/left))
+}
--- /dev/null
+++ b/route/document.go
@@ -0,0 +1,201 @@
+package route
+
+import (
+	"bytes"
+	"compress/flate"
+	"crypto/sha256"
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+
+	"github.com/gravitational/trace"
+	"github.com/samber/lo"
+)
+
+// ConfigKey is the register that holds the Document.
+const ConfigKey = "route/config"
+
+const (
+	// MaxBody is the largest text that an operator may send.
+	MaxBody = 8 << 20
+	// MaxText is the largest configuration that changes may add up to.
+	MaxText = 2 * MaxBody
+	// MaxTaken is how many accepted changes are remembered.
+	MaxTaken = 128
+)
+
+// Document is what a register holds: a whole configuration's text, to the byte,
+// and which changes led there.
+type Document struct {
+	Version uint64
+	Text    []byte
+	Taken   []Taken // oldest first, at most MaxTaken
+}
+
+// Taken is a change that was accepted.
+type Taken struct {
+	Version, Base uint64
+	Sum           [sha256.Size]byte // of the change
+}
+
+// Formats of what the registers of this package hold.
+const (
+	formatDocument byte = 0xC1
+	formatWeights  byte = 0xA1
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// seal frames a register's value, so that a damaged one is not taken for whole.
+func seal(format byte, body []byte) []byte {
+	b := append([]byte{format}, body...)
+	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+}
+
+func unseal(format byte, b []byte) ([]byte, error) {
+	if len(b) < 5 || b[0] != format {
+		return nil, trace.BadParameter("the register's format is unknown; run a program of the version that wrote it")
+	}
+	n := len(b) - 4
+	if crc32.Checksum(b[:n], castagnoli) != binary.LittleEndian.Uint32(b[n:]) {
+		return nil, trace.BadParameter("the register's checksum is wrong; restore the node's disk from another")
+	}
+	return b[1:n], nil
+}
+
+// Bytes is the register's value. Its text is deflated: it is carried to every node.
+func (d *Document) Bytes() []byte {
+	b := binary.AppendUvarint(nil, d.Version)
+	b = binary.AppendUvarint(b, uint64(len(d.Taken)))
+	for _, t := range d.Taken {
+		b = binary.AppendUvarint(b, t.Version)
+		b = binary.AppendUvarint(b, t.Base)
+		b = append(b, t.Sum[:]...)
+	}
+	b = binary.AppendUvarint(b, uint64(len(d.Text)))
+	var z bytes.Buffer
+	w := lo.Must(flate.NewWriter(&z, flate.DefaultCompression))
+	_, _ = w.Write(d.Text) // a Buffer takes all
+	_ = w.Close()
+	return seal(formatDocument, append(b, z.Bytes()...))
+}
+
+// ReadDocument reads what Bytes wrote.
+func ReadDocument(b []byte) (*Document, error) {
+	b, err := unseal(formatDocument, b)
+	if err != nil {
+		return nil, err
+	}
+	bad := trace.BadParameter("the configuration's register is malformed; send the whole configuration again")
+	r := bytes.NewReader(b)
+	d := &Document{}
+	n, err := uvarints(r, &d.Version)
+	if err != nil || n > MaxTaken {
+		return nil, bad
+	}
+	for range n {
+		var t Taken
+		if t.Base, err = uvarints(r, &t.Version); err != nil {
+			return nil, bad
+		}
+		if _, err := io.ReadFull(r, t.Sum[:]); err != nil {
+			return nil, bad
+		}
+		d.Taken = append(d.Taken, t)
+	}
+	size, err := binary.ReadUvarint(r)
+	if err != nil || size > MaxText {
+		return nil, bad
+	}
+	// The size is only believed as far as there are bytes for it.
+	d.Text, err = io.ReadAll(io.LimitReader(flate.NewReader(r), int64(size)+1))
+	if err != nil || uint64(len(d.Text)) != size || r.Len() != 0 {
+		return nil, bad
+	}
+	return d, nil
+}
+
+// uvarints reads two numbers: the first into v, the second as the result.
+func uvarints(r io.ByteReader, v *uint64) (w uint64, err error) {
+	if *v, err = binary.ReadUvarint(r); err == nil {
+		w, err = binary.ReadUvarint(r)
+	}
+	return w, err
+}
+
+// Change is what an operator sends: a whole configuration, or items to merge
+// into the one it builds on.
+type Change struct {
+	Whole   bool
+	Base    uint64 // version it builds on, 0 being none
+	HasBase bool
+	Body    []byte
+}
+
+// Outcome is what becomes of a change.
+type Outcome uint8
+
+// An Accepted change is in force once the register holds the next Document. A
+// Duplicate was taken before, though others may have followed. A Stale one
+// builds on a version that is not current, and an Invalid one never will do.
+const (
+	Accepted Outcome = iota + 1
+	Duplicate
+	Stale
+	Invalid
+)
+
+func (o Outcome) String() string {
+	return [...]string{"none", "accepted", "duplicate", "stale", "invalid"}[o]
+}
+
+func (c Change) sum() [sha256.Size]byte {
+	h := sha256.New()
+	head := [9]byte{lo.Ternary[byte](c.Whole, 1, 0)}
+	binary.LittleEndian.PutUint64(head[1:], c.Base)
+	_, _ = h.Write(head[:])
+	_, _ = h.Write(c.Body)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// On decides a change on the current document, nil being none. Only an Accepted
+// one has a next document, to be put on the condition that cur is still current.
+//
+// Whether the base is current comes before whether the change is in order: whoever
+// loses a race with a lower version number should learn that the base has moved.
+func (c Change) On(cur *Document, tr func([]byte) (Config, []Finding), w Words) (next *Document, out Outcome, fs []Finding) {
+	cur = lo.CoalesceOrEmpty(cur, &Document{})
+	if !c.HasBase {
+		return nil, Invalid, []Finding{{"", "no-base", "say which version the change builds on, 0 for the first"}}
+	}
+	sum := c.sum()
+	if lo.ContainsBy(cur.Taken, func(t Taken) bool { return t.Base == c.Base && t.Sum == sum }) {
+		return nil, Duplicate, nil
+	}
+	if c.Base != cur.Version {
+		return nil, Stale, nil
+	}
+	text := c.Body
+	if c.Whole {
+		// Later merges must be able to tell the parts apart.
+		if _, err := members(text); err != nil {
+			return nil, Invalid, []Finding{unreadable("", err)}
+		}
+	} else if text, fs = Merge(cur.Text, c.Body, w); len(fs) > 0 {
+		return nil, Invalid, fs
+	}
+	if len(text) > MaxText {
+		return nil, Invalid, []Finding{{"", "too-large", "remove items that are not needed any more"}}
+	}
+	conf, fs := tr(text)
+	if len(fs) == 0 {
+		fs = Check(conf, cur.Version)
+	}
+	if len(fs) > 0 {
+		return nil, Invalid, fs
+	}
+	past := cur.Taken[max(0, len(cur.Taken)-MaxTaken+1):]
+	next = &Document{Version: conf.Version, Text: text}
+	next.Taken = append(append(next.Taken, past...), Taken{conf.Version, c.Base, sum})
+	return next, Accepted, nil
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,105 @@
+package route
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table is a configuration made ready for look-ups. It never changes.
+type Table struct {
+	Config
+	Rev   uint64 // of the register that held it
+	hosts map[string][]*Route
+	keys  map[string]*Tenant
+	pools map[string]*Pool
+	walls map[string]string
+}
+
+// Compile makes a table of a configuration that Check found in order.
+func Compile(c Config, rev uint64) *Table {
+	t := &Table{Config: c, Rev: rev, hosts: map[string][]*Route{}, keys: map[string]*Tenant{}, pools: map[string]*Pool{}, walls: map[string]string{}}
+	for i := range c.Routes {
+		r := &t.Config.Routes[i]
+		t.hosts[strings.ToLower(r.Host)] = append(t.hosts[strings.ToLower(r.Host)], r)
+	}
+	for _, rs := range t.hosts {
+		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].Prefix) > len(rs[j].Prefix) })
+	}
+	for i := range c.Pools {
+		t.pools[c.Pools[i].Name] = &t.Config.Pools[i]
+	}
+	var apart []string
+	for i := range c.Tenants {
+		n := &t.Config.Tenants[i]
+		for _, k := range n.Keys {
+			t.keys[k] = n
+		}
+		if n.Isolated {
+			apart = append(apart, n.Name)
+		}
+	}
+	// The commons are named by who is walled off from them: whoever comes to be
+	// isolated later left parts there that the others must not find any more.
+	sort.Strings(apart)
+	h := sha256.Sum256([]byte(strings.Join(apart, "\x00")))
+	commons := "c" + hex.EncodeToString(h[:6])
+	t.walls[""] = commons
+	for i := range c.Tenants {
+		if n := &c.Tenants[i]; n.Isolated {
+			w := sha256.Sum256([]byte(n.Name))
+			t.walls[n.Name] = "w" + hex.EncodeToString(w[:6])
+		} else {
+			t.walls[n.Name] = commons
+		}
+	}
+	return t
+}
+
+// Find is the route with the longest prefix that begins the path, or nil.
+func (t *Table) Find(host, path string) *Route {
+	h := strings.ToLower(host)
+	if x, _, err := net.SplitHostPort(h); err == nil && t.hosts[h] == nil {
+		h = x
+	}
+	for _, r := range t.hosts[h] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// TenantOf is the tenant that holds a key, or nil.
+func (t *Table) TenantOf(key string) *Tenant {
+	if key == "" {
+		return nil
+	}
+	return t.keys[key]
+}
+
+// Keyed reports whether requests carry keys at all.
+func (t *Table) Keyed() bool { return len(t.Tenants) > 0 }
+
+// Pool is the pool of that name, or nil.
+func (t *Table) Pool(name string) *Pool { return t.pools[name] }
+
+// Stores lists the stores of kept parts.
+func (t *Table) Stores() (out []*Pool) {
+	for i := range t.Config.Pools {
+		if p := &t.Config.Pools[i]; p.Store != "" {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Wall names the parts that a tenant's requests may share; "" is no tenant.
+func (t *Table) Wall(tenant string) string {
+	if w, ok := t.walls[tenant]; ok {
+		return w
+	}
+	return t.walls[""]
+}
--- a/schema/fb/desk_generated.go
+++ b/schema/fb/desk_generated.go
@@ -5383,6 +5383,1166 @@
 	return builder.EndObject()
 }
 
+type ModelAtT struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+}
+
+func (t *ModelAtT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	modelOffset := builder.CreateString(t.Model)
+	ModelAtStart(builder)
+	ModelAtAddModel(builder, modelOffset)
+	ModelAtAddVersion(builder, t.Version)
+	return ModelAtEnd(builder)
+}
+
+func (rcv *ModelAt) UnPackTo(t *ModelAtT) {
+	t.Model = string(rcv.Model())
+	t.Version = rcv.Version()
+}
+
+func (rcv *ModelAt) UnPack() *ModelAtT {
+	if rcv == nil {
+		return nil
+	}
+	t := &ModelAtT{}
+	rcv.UnPackTo(t)
+	return t
+}
+
+type ModelAt struct {
+	_tab flatbuffers.Table
+}
+
+func GetRootAsModelAt(buf []byte, offset flatbuffers.UOffsetT) *ModelAt {
+	n := flatbuffers.GetUOffsetT(buf[offset:])
+	x := &ModelAt{}
+	x.Init(buf, n+offset)
+	return x
+}
+
+func GetSizePrefixedRootAsModelAt(buf []byte, offset flatbuffers.UOffsetT) *ModelAt {
+	n := flatbuffers.GetUOffsetT(buf[offset+flatbuffers.SizeUint32:])
+	x := &ModelAt{}
+	x.Init(buf, n+offset+flatbuffers.SizeUint32)
+	return x
+}
+
+func (rcv *ModelAt) Init(buf []byte, i flatbuffers.UOffsetT) {
+	rcv._tab.Bytes = buf
+	rcv._tab.Pos = i
+}
+
+func (rcv *ModelAt) Table() flatbuffers.Table {
+	return rcv._tab
+}
+
+func (rcv *ModelAt) Model() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *ModelAt) Version() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *ModelAt) MutateVersion(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(6, n)
+}
+
+func ModelAtStart(builder *flatbuffers.Builder) {
+	builder.StartObject(2)
+}
+func ModelAtAddModel(builder *flatbuffers.Builder, model flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(model), 0)
+}
+func ModelAtAddVersion(builder *flatbuffers.Builder, version uint64) {
+	builder.PrependUint64Slot(1, version, 0)
+}
+func ModelAtEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	return builder.EndObject()
+}
+
+type MapEngineT struct {
+	Id       string      `json:"id"`
+	Pool     string      `json:"pool"`
+	Addr     string      `json:"addr"`
+	Site     string      `json:"site"`
+	Draining bool        `json:"draining"`
+	Slots    uint32      `json:"slots"`
+	Weights  []*ModelAtT `json:"weights"`
+	Turning  bool        `json:"turning"`
+	Down     bool        `json:"down"`
+	Store    bool        `json:"store"`
+}
+
+func (t *MapEngineT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	idOffset := builder.CreateString(t.Id)
+	poolOffset := builder.CreateString(t.Pool)
+	addrOffset := builder.CreateString(t.Addr)
+	siteOffset := builder.CreateString(t.Site)
+	weightsOffset := flatbuffers.UOffsetT(0)
+	if t.Weights != nil {
+		weightsLength := len(t.Weights)
+		weightsOffsets := make([]flatbuffers.UOffsetT, weightsLength)
+		for j := 0; j < weightsLength; j++ {
+			weightsOffsets[j] = t.Weights[j].Pack(builder)
+		}
+		MapEngineStartWeightsVector(builder, weightsLength)
+		for j := weightsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(weightsOffsets[j])
+		}
+		weightsOffset = builder.EndVector(weightsLength)
+	}
+	MapEngineStart(builder)
+	MapEngineAddId(builder, idOffset)
+	MapEngineAddPool(builder, poolOffset)
+	MapEngineAddAddr(builder, addrOffset)
+	MapEngineAddSite(builder, siteOffset)
+	MapEngineAddDraining(builder, t.Draining)
+	MapEngineAddSlots(builder, t.Slots)
+	MapEngineAddWeights(builder, weightsOffset)
+	MapEngineAddTurning(builder, t.Turning)
+	MapEngineAddDown(builder, t.Down)
+	MapEngineAddStore(builder, t.Store)
+	return MapEngineEnd(builder)
+}
+
+func (rcv *MapEngine) UnPackTo(t *MapEngineT) {
+	t.Id = string(rcv.Id())
+	t.Pool = string(rcv.Pool())
+	t.Addr = string(rcv.Addr())
+	t.Site = string(rcv.Site())
+	t.Draining = rcv.Draining()
+	t.Slots = rcv.Slots()
+	weightsLength := rcv.WeightsLength()
+	t.Weights = make([]*ModelAtT, weightsLength)
+	for j := 0; j < weightsLength; j++ {
+		x := ModelAt{}
+		rcv.Weights(&x, j)
+		t.Weights[j] = x.UnPack()
+	}
+	t.Turning = rcv.Turning()
+	t.Down = rcv.Down()
+	t.Store = rcv.Store()
+}
+
+func (rcv *MapEngine) UnPack() *MapEngineT {
+	if rcv == nil {
+		return nil
+	}
+	t := &MapEngineT{}
+	rcv.UnPackTo(t)
+	return t
+}
+
+type MapEngine struct {
+	_tab flatbuffers.Table
+}
+
+func GetRootAsMapEngine(buf []byte, offset flatbuffers.UOffsetT) *MapEngine {
+	n := flatbuffers.GetUOffsetT(buf[offset:])
+	x := &MapEngine{}
+	x.Init(buf, n+offset)
+	return x
+}
+
+func GetSizePrefixedRootAsMapEngine(buf []byte, offset flatbuffers.UOffsetT) *MapEngine {
+	n := flatbuffers.GetUOffsetT(buf[offset+flatbuffers.SizeUint32:])
+	x := &MapEngine{}
+	x.Init(buf, n+offset+flatbuffers.SizeUint32)
+	return x
+}
+
+func (rcv *MapEngine) Init(buf []byte, i flatbuffers.UOffsetT) {
+	rcv._tab.Bytes = buf
+	rcv._tab.Pos = i
+}
+
+func (rcv *MapEngine) Table() flatbuffers.Table {
+	return rcv._tab
+}
+
+func (rcv *MapEngine) Id() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *MapEngine) Pool() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *MapEngine) Addr() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *MapEngine) Site() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *MapEngine) Draining() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *MapEngine) MutateDraining(n bool) bool {
+	return rcv._tab.MutateBoolSlot(12, n)
+}
+
+func (rcv *MapEngine) Slots() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapEngine) MutateSlots(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(14, n)
+}
+
+func (rcv *MapEngine) Weights(obj *ModelAt, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *MapEngine) WeightsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *MapEngine) Turning() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *MapEngine) MutateTurning(n bool) bool {
+	return rcv._tab.MutateBoolSlot(18, n)
+}
+
+func (rcv *MapEngine) Down() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *MapEngine) MutateDown(n bool) bool {
+	return rcv._tab.MutateBoolSlot(20, n)
+}
+
+func (rcv *MapEngine) Store() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *MapEngine) MutateStore(n bool) bool {
+	return rcv._tab.MutateBoolSlot(22, n)
+}
+
+func MapEngineStart(builder *flatbuffers.Builder) {
+	builder.StartObject(10)
+}
+func MapEngineAddId(builder *flatbuffers.Builder, id flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(id), 0)
+}
+func MapEngineAddPool(builder *flatbuffers.Builder, pool flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(1, flatbuffers.UOffsetT(pool), 0)
+}
+func MapEngineAddAddr(builder *flatbuffers.Builder, addr flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(2, flatbuffers.UOffsetT(addr), 0)
+}
+func MapEngineAddSite(builder *flatbuffers.Builder, site flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(3, flatbuffers.UOffsetT(site), 0)
+}
+func MapEngineAddDraining(builder *flatbuffers.Builder, draining bool) {
+	builder.PrependBoolSlot(4, draining, false)
+}
+func MapEngineAddSlots(builder *flatbuffers.Builder, slots uint32) {
+	builder.PrependUint32Slot(5, slots, 0)
+}
+func MapEngineAddWeights(builder *flatbuffers.Builder, weights flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(weights), 0)
+}
+func MapEngineStartWeightsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MapEngineAddTurning(builder *flatbuffers.Builder, turning bool) {
+	builder.PrependBoolSlot(7, turning, false)
+}
+func MapEngineAddDown(builder *flatbuffers.Builder, down bool) {
+	builder.PrependBoolSlot(8, down, false)
+}
+func MapEngineAddStore(builder *flatbuffers.Builder, store bool) {
+	builder.PrependBoolSlot(9, store, false)
+}
+func MapEngineEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	return builder.EndObject()
+}
+
+type NamedT struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+	Age     int64  `json:"age"`
+}
+
+func (t *NamedT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	modelOffset := builder.CreateString(t.Model)
+	NamedStart(builder)
+	NamedAddModel(builder, modelOffset)
+	NamedAddVersion(builder, t.Version)
+	NamedAddAge(builder, t.Age)
+	return NamedEnd(builder)
+}
+
+func (rcv *Named) UnPackTo(t *NamedT) {
+	t.Model = string(rcv.Model())
+	t.Version = rcv.Version()
+	t.Age = rcv.Age()
+}
+
+func (rcv *Named) UnPack() *NamedT {
+	if rcv == nil {
+		return nil
+	}
+	t := &NamedT{}
+	rcv.UnPackTo(t)
+	return t
+}
+
+type Named struct {
+	_tab flatbuffers.Table
+}
+
+func GetRootAsNamed(buf []byte, offset flatbuffers.UOffsetT) *Named {
+	n := flatbuffers.GetUOffsetT(buf[offset:])
+	x := &Named{}
+	x.Init(buf, n+offset)
+	return x
+}
+
+func GetSizePrefixedRootAsNamed(buf []byte, offset flatbuffers.UOffsetT) *Named {
+	n := flatbuffers.GetUOffsetT(buf[offset+flatbuffers.SizeUint32:])
+	x := &Named{}
+	x.Init(buf, n+offset+flatbuffers.SizeUint32)
+	return x
+}
+
+func (rcv *Named) Init(buf []byte, i flatbuffers.UOffsetT) {
+	rcv._tab.Bytes = buf
+	rcv._tab.Pos = i
+}
+
+func (rcv *Named) Table() flatbuffers.Table {
+	return rcv._tab
+}
+
+func (rcv *Named) Model() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Named) Version() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Named) MutateVersion(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(6, n)
+}
+
+func (rcv *Named) Age() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Named) MutateAge(n int64) bool {
+	return rcv._tab.MutateInt64Slot(8, n)
+}
+
+func NamedStart(builder *flatbuffers.Builder) {
+	builder.StartObject(3)
+}
+func NamedAddModel(builder *flatbuffers.Builder, model flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(model), 0)
+}
+func NamedAddVersion(builder *flatbuffers.Builder, version uint64) {
+	builder.PrependUint64Slot(1, version, 0)
+}
+func NamedAddAge(builder *flatbuffers.Builder, age int64) {
+	builder.PrependInt64Slot(2, age, 0)
+}
+func NamedEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	return builder.EndObject()
+}
+
+type MapAskT struct {
+	Node      *NodeT `json:"node"`
+	Inc       uint64 `json:"inc"`
+	Have      uint64 `json:"have"`
+	Map       uint64 `json:"map"`
+	NewsInc   uint64 `json:"news_inc"`
+	NewsSince uint64 `json:"news_since"`
+	Hold      int64  `json:"hold"`
+}
+
+func (t *MapAskT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	nodeOffset := t.Node.Pack(builder)
+	MapAskStart(builder)
+	MapAskAddNode(builder, nodeOffset)
+	MapAskAddInc(builder, t.Inc)
+	MapAskAddHave(builder, t.Have)
+	MapAskAddMap(builder, t.Map)
+	MapAskAddNewsInc(builder, t.NewsInc)
+	MapAskAddNewsSince(builder, t.NewsSince)
+	MapAskAddHold(builder, t.Hold)
+	return MapAskEnd(builder)
+}
+
+func (rcv *MapAsk) UnPackTo(t *MapAskT) {
+	t.Node = rcv.Node(nil).UnPack()
+	t.Inc = rcv.Inc()
+	t.Have = rcv.Have()
+	t.Map = rcv.Map()
+	t.NewsInc = rcv.NewsInc()
+	t.NewsSince = rcv.NewsSince()
+	t.Hold = rcv.Hold()
+}
+
+func (rcv *MapAsk) UnPack() *MapAskT {
+	if rcv == nil {
+		return nil
+	}
+	t := &MapAskT{}
+	rcv.UnPackTo(t)
+	return t
+}
+
+type MapAsk struct {
+	_tab flatbuffers.Table
+}
+
+func GetRootAsMapAsk(buf []byte, offset flatbuffers.UOffsetT) *MapAsk {
+	n := flatbuffers.GetUOffsetT(buf[offset:])
+	x := &MapAsk{}
+	x.Init(buf, n+offset)
+	return x
+}
+
+func GetSizePrefixedRootAsMapAsk(buf []byte, offset flatbuffers.UOffsetT) *MapAsk {
+	n := flatbuffers.GetUOffsetT(buf[offset+flatbuffers.SizeUint32:])
+	x := &MapAsk{}
+	x.Init(buf, n+offset+flatbuffers.SizeUint32)
+	return x
+}
+
+func (rcv *MapAsk) Init(buf []byte, i flatbuffers.UOffsetT) {
+	rcv._tab.Bytes = buf
+	rcv._tab.Pos = i
+}
+
+func (rcv *MapAsk) Table() flatbuffers.Table {
+	return rcv._tab
+}
+
+func (rcv *MapAsk) Node(obj *Node) *Node {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(Node)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
+func (rcv *MapAsk) Inc() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapAsk) MutateInc(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(6, n)
+}
+
+func (rcv *MapAsk) Have() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapAsk) MutateHave(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(8, n)
+}
+
+func (rcv *MapAsk) Map() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapAsk) MutateMap(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(10, n)
+}
+
+func (rcv *MapAsk) NewsInc() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapAsk) MutateNewsInc(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(12, n)
+}
+
+func (rcv *MapAsk) NewsSince() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapAsk) MutateNewsSince(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(14, n)
+}
+
+func (rcv *MapAsk) Hold() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapAsk) MutateHold(n int64) bool {
+	return rcv._tab.MutateInt64Slot(16, n)
+}
+
+func MapAskStart(builder *flatbuffers.Builder) {
+	builder.StartObject(7)
+}
+func MapAskAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
+}
+func MapAskAddInc(builder *flatbuffers.Builder, inc uint64) {
+	builder.PrependUint64Slot(1, inc, 0)
+}
+func MapAskAddHave(builder *flatbuffers.Builder, have uint64) {
+	builder.PrependUint64Slot(2, have, 0)
+}
+func MapAskAddMap(builder *flatbuffers.Builder, map_ uint64) {
+	builder.PrependUint64Slot(3, map_, 0)
+}
+func MapAskAddNewsInc(builder *flatbuffers.Builder, newsInc uint64) {
+	builder.PrependUint64Slot(4, newsInc, 0)
+}
+func MapAskAddNewsSince(builder *flatbuffers.Builder, newsSince uint64) {
+	builder.PrependUint64Slot(5, newsSince, 0)
+}
+func MapAskAddHold(builder *flatbuffers.Builder, hold int64) {
+	builder.PrependInt64Slot(6, hold, 0)
+}
+func MapAskEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	return builder.EndObject()
+}
+
+type MapTellT struct {
+	Inc       uint64        `json:"inc"`
+	Site      string        `json:"site"`
+	Held      int64         `json:"held"`
+	Known     bool          `json:"known"`
+	Rev       uint64        `json:"rev"`
+	Age       int64         `json:"age"`
+	Config    []byte        `json:"config"`
+	Map       uint64        `json:"map"`
+	Whole     bool          `json:"whole"`
+	ListAge   int64         `json:"list_age"`
+	Engines   []*MapEngineT `json:"engines"`
+	Named     []*NamedT     `json:"named"`
+	Proxies   uint32        `json:"proxies"`
+	Voters    []string      `json:"voters"`
+	NewsInc   uint64        `json:"news_inc"`
+	NewsNext  uint64        `json:"news_next"`
+	NewsReset bool          `json:"news_reset"`
+	News      []*NewsT      `json:"news"`
+}
+
+func (t *MapTellT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	siteOffset := builder.CreateString(t.Site)
+	configOffset := flatbuffers.UOffsetT(0)
+	if t.Config != nil {
+		configOffset = builder.CreateByteString(t.Config)
+	}
+	enginesOffset := flatbuffers.UOffsetT(0)
+	if t.Engines != nil {
+		enginesLength := len(t.Engines)
+		enginesOffsets := make([]flatbuffers.UOffsetT, enginesLength)
+		for j := 0; j < enginesLength; j++ {
+			enginesOffsets[j] = t.Engines[j].Pack(builder)
+		}
+		MapTellStartEnginesVector(builder, enginesLength)
+		for j := enginesLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(enginesOffsets[j])
+		}
+		enginesOffset = builder.EndVector(enginesLength)
+	}
+	namedOffset := flatbuffers.UOffsetT(0)
+	if t.Named != nil {
+		namedLength := len(t.Named)
+		namedOffsets := make([]flatbuffers.UOffsetT, namedLength)
+		for j := 0; j < namedLength; j++ {
+			namedOffsets[j] = t.Named[j].Pack(builder)
+		}
+		MapTellStartNamedVector(builder, namedLength)
+		for j := namedLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(namedOffsets[j])
+		}
+		namedOffset = builder.EndVector(namedLength)
+	}
+	votersOffset := flatbuffers.UOffsetT(0)
+	if t.Voters != nil {
+		votersLength := len(t.Voters)
+		votersOffsets := make([]flatbuffers.UOffsetT, votersLength)
+		for j := 0; j < votersLength; j++ {
+			votersOffsets[j] = builder.CreateString(t.Voters[j])
+		}
+		MapTellStartVotersVector(builder, votersLength)
+		for j := votersLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(votersOffsets[j])
+		}
+		votersOffset = builder.EndVector(votersLength)
+	}
+	newsOffset := flatbuffers.UOffsetT(0)
+	if t.News != nil {
+		newsLength := len(t.News)
+		newsOffsets := make([]flatbuffers.UOffsetT, newsLength)
+		for j := 0; j < newsLength; j++ {
+			newsOffsets[j] = t.News[j].Pack(builder)
+		}
+		MapTellStartNewsVector(builder, newsLength)
+		for j := newsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(newsOffsets[j])
+		}
+		newsOffset = builder.EndVector(newsLength)
+	}
+	MapTellStart(builder)
+	MapTellAddInc(builder, t.Inc)
+	MapTellAddSite(builder, siteOffset)
+	MapTellAddHeld(builder, t.Held)
+	MapTellAddKnown(builder, t.Known)
+	MapTellAddRev(builder, t.Rev)
+	MapTellAddAge(builder, t.Age)
+	MapTellAddConfig(builder, configOffset)
+	MapTellAddMap(builder, t.Map)
+	MapTellAddWhole(builder, t.Whole)
+	MapTellAddListAge(builder, t.ListAge)
+	MapTellAddEngines(builder, enginesOffset)
+	MapTellAddNamed(builder, namedOffset)
+	MapTellAddProxies(builder, t.Proxies)
+	MapTellAddVoters(builder, votersOffset)
+	MapTellAddNewsInc(builder, t.NewsInc)
+	MapTellAddNewsNext(builder, t.NewsNext)
+	MapTellAddNewsReset(builder, t.NewsReset)
+	MapTellAddNews(builder, newsOffset)
+	return MapTellEnd(builder)
+}
+
+func (rcv *MapTell) UnPackTo(t *MapTellT) {
+	t.Inc = rcv.Inc()
+	t.Site = string(rcv.Site())
+	t.Held = rcv.Held()
+	t.Known = rcv.Known()
+	t.Rev = rcv.Rev()
+	t.Age = rcv.Age()
+	t.Config = rcv.ConfigBytes()
+	t.Map = rcv.Map()
+	t.Whole = rcv.Whole()
+	t.ListAge = rcv.ListAge()
+	enginesLength := rcv.EnginesLength()
+	t.Engines = make([]*MapEngineT, enginesLength)
+	for j := 0; j < enginesLength; j++ {
+		x := MapEngine{}
+		rcv.Engines(&x, j)
+		t.Engines[j] = x.UnPack()
+	}
+	namedLength := rcv.NamedLength()
+	t.Named = make([]*NamedT, namedLength)
+	for j := 0; j < namedLength; j++ {
+		x := Named{}
+		rcv.Named(&x, j)
+		t.Named[j] = x.UnPack()
+	}
+	t.Proxies = rcv.Proxies()
+	votersLength := rcv.VotersLength()
+	t.Voters = make([]string, votersLength)
+	for j := 0; j < votersLength; j++ {
+		t.Voters[j] = string(rcv.Voters(j))
+	}
+	t.NewsInc = rcv.NewsInc()
+	t.NewsNext = rcv.NewsNext()
+	t.NewsReset = rcv.NewsReset()
+	newsLength := rcv.NewsLength()
+	t.News = make([]*NewsT, newsLength)
+	for j := 0; j < newsLength; j++ {
+		x := News{}
+		rcv.News(&x, j)
+		t.News[j] = x.UnPack()
+	}
+}
+
+func (rcv *MapTell) UnPack() *MapTellT {
+	if rcv == nil {
+		return nil
+	}
+	t := &MapTellT{}
+	rcv.UnPackTo(t)
+	return t
+}
+
+type MapTell struct {
+	_tab flatbuffers.Table
+}
+
+func GetRootAsMapTell(buf []byte, offset flatbuffers.UOffsetT) *MapTell {
+	n := flatbuffers.GetUOffsetT(buf[offset:])
+	x := &MapTell{}
+	x.Init(buf, n+offset)
+	return x
+}
+
+func GetSizePrefixedRootAsMapTell(buf []byte, offset flatbuffers.UOffsetT) *MapTell {
+	n := flatbuffers.GetUOffsetT(buf[offset+flatbuffers.SizeUint32:])
+	x := &MapTell{}
+	x.Init(buf, n+offset+flatbuffers.SizeUint32)
+	return x
+}
+
+func (rcv *MapTell) Init(buf []byte, i flatbuffers.UOffsetT) {
+	rcv._tab.Bytes = buf
+	rcv._tab.Pos = i
+}
+
+func (rcv *MapTell) Table() flatbuffers.Table {
+	return rcv._tab
+}
+
+func (rcv *MapTell) Inc() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateInc(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(4, n)
+}
+
+func (rcv *MapTell) Site() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *MapTell) Held() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateHeld(n int64) bool {
+	return rcv._tab.MutateInt64Slot(8, n)
+}
+
+func (rcv *MapTell) Known() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *MapTell) MutateKnown(n bool) bool {
+	return rcv._tab.MutateBoolSlot(10, n)
+}
+
+func (rcv *MapTell) Rev() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateRev(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(12, n)
+}
+
+func (rcv *MapTell) Age() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateAge(n int64) bool {
+	return rcv._tab.MutateInt64Slot(14, n)
+}
+
+func (rcv *MapTell) Config(j int) byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetByte(a + flatbuffers.UOffsetT(j*1))
+	}
+	return 0
+}
+
+func (rcv *MapTell) ConfigLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *MapTell) ConfigBytes() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *MapTell) MutateConfig(j int, n byte) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateByte(a+flatbuffers.UOffsetT(j*1), n)
+	}
+	return false
+}
+
+func (rcv *MapTell) Map() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateMap(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(18, n)
+}
+
+func (rcv *MapTell) Whole() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *MapTell) MutateWhole(n bool) bool {
+	return rcv._tab.MutateBoolSlot(20, n)
+}
+
+func (rcv *MapTell) ListAge() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateListAge(n int64) bool {
+	return rcv._tab.MutateInt64Slot(22, n)
+}
+
+func (rcv *MapTell) Engines(obj *MapEngine, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *MapTell) EnginesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *MapTell) Named(obj *Named, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *MapTell) NamedLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *MapTell) Proxies() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateProxies(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(28, n)
+}
+
+func (rcv *MapTell) Voters(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+	}
+	return nil
+}
+
+func (rcv *MapTell) VotersLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *MapTell) NewsInc() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateNewsInc(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(32, n)
+}
+
+func (rcv *MapTell) NewsNext() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateNewsNext(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(34, n)
+}
+
+func (rcv *MapTell) NewsReset() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *MapTell) MutateNewsReset(n bool) bool {
+	return rcv._tab.MutateBoolSlot(36, n)
+}
+
+func (rcv *MapTell) News(obj *News, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *MapTell) NewsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func MapTellStart(builder *flatbuffers.Builder) {
+	builder.StartObject(18)
+}
+func MapTellAddInc(builder *flatbuffers.Builder, inc uint64) {
+	builder.PrependUint64Slot(0, inc, 0)
+}
+func MapTellAddSite(builder *flatbuffers.Builder, site flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(1, flatbuffers.UOffsetT(site), 0)
+}
+func MapTellAddHeld(builder *flatbuffers.Builder, held int64) {
+	builder.PrependInt64Slot(2, held, 0)
+}
+func MapTellAddKnown(builder *flatbuffers.Builder, known bool) {
+	builder.PrependBoolSlot(3, known, false)
+}
+func MapTellAddRev(builder *flatbuffers.Builder, rev uint64) {
+	builder.PrependUint64Slot(4, rev, 0)
+}
+func MapTellAddAge(builder *flatbuffers.Builder, age int64) {
+	builder.PrependInt64Slot(5, age, 0)
+}
+func MapTellAddConfig(builder *flatbuffers.Builder, config flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(config), 0)
+}
+func MapTellStartConfigVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(1, numElems, 1)
+}
+func MapTellAddMap(builder *flatbuffers.Builder, map_ uint64) {
+	builder.PrependUint64Slot(7, map_, 0)
+}
+func MapTellAddWhole(builder *flatbuffers.Builder, whole bool) {
+	builder.PrependBoolSlot(8, whole, false)
+}
+func MapTellAddListAge(builder *flatbuffers.Builder, listAge int64) {
+	builder.PrependInt64Slot(9, listAge, 0)
+}
+func MapTellAddEngines(builder *flatbuffers.Builder, engines flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(10, flatbuffers.UOffsetT(engines), 0)
+}
+func MapTellStartEnginesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MapTellAddNamed(builder *flatbuffers.Builder, named flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(11, flatbuffers.UOffsetT(named), 0)
+}
+func MapTellStartNamedVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MapTellAddProxies(builder *flatbuffers.Builder, proxies uint32) {
+	builder.PrependUint32Slot(12, proxies, 0)
+}
+func MapTellAddVoters(builder *flatbuffers.Builder, voters flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(13, flatbuffers.UOffsetT(voters), 0)
+}
+func MapTellStartVotersVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MapTellAddNewsInc(builder *flatbuffers.Builder, newsInc uint64) {
+	builder.PrependUint64Slot(14, newsInc, 0)
+}
+func MapTellAddNewsNext(builder *flatbuffers.Builder, newsNext uint64) {
+	builder.PrependUint64Slot(15, newsNext, 0)
+}
+func MapTellAddNewsReset(builder *flatbuffers.Builder, newsReset bool) {
+	builder.PrependBoolSlot(16, newsReset, false)
+}
+func MapTellAddNews(builder *flatbuffers.Builder, news flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(17, flatbuffers.UOffsetT(news), 0)
+}
+func MapTellStartNewsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MapTellEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	return builder.EndObject()
+}
+
 type ProblemT struct {
 	Kind string `json:"kind"`
 	Text string `json:"text"`
@@ -5487,6 +6647,8 @@
 	FeedAsk   *FeedAskT   `json:"feed_ask"`
 	FeedTell  *FeedTellT  `json:"feed_tell"`
 	Problem   *ProblemT   `json:"problem"`
+	MapAsk    *MapAskT    `json:"map_ask"`
+	MapTell   *MapTellT   `json:"map_tell"`
 }
 
 func (t *FrameT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -5508,6 +6670,8 @@
 	feedAskOffset := t.FeedAsk.Pack(builder)
 	feedTellOffset := t.FeedTell.Pack(builder)
 	problemOffset := t.Problem.Pack(builder)
+	mapAskOffset := t.MapAsk.Pack(builder)
+	mapTellOffset := t.MapTell.Pack(builder)
 	FrameStart(builder)
 	FrameAddRef(builder, t.Ref)
 	FrameAddSettle(builder, settleOffset)
@@ -5525,6 +6689,8 @@
 	FrameAddFeedAsk(builder, feedAskOffset)
 	FrameAddFeedTell(builder, feedTellOffset)
 	FrameAddProblem(builder, problemOffset)
+	FrameAddMapAsk(builder, mapAskOffset)
+	FrameAddMapTell(builder, mapTellOffset)
 	return FrameEnd(builder)
 }
 
@@ -5545,6 +6711,8 @@
 	t.FeedAsk = rcv.FeedAsk(nil).UnPack()
 	t.FeedTell = rcv.FeedTell(nil).UnPack()
 	t.Problem = rcv.Problem(nil).UnPack()
+	t.MapAsk = rcv.MapAsk(nil).UnPack()
+	t.MapTell = rcv.MapTell(nil).UnPack()
 }
 
 func (rcv *Frame) UnPack() *FrameT {
@@ -5790,8 +6958,34 @@
 	return nil
 }
 
+func (rcv *Frame) MapAsk(obj *MapAsk) *MapAsk {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(MapAsk)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
+func (rcv *Frame) MapTell(obj *MapTell) *MapTell {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(MapTell)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
 func FrameStart(builder *flatbuffers.Builder) {
-	builder.StartObject(16)
+	builder.StartObject(18)
 }
 func FrameAddRef(builder *flatbuffers.Builder, ref uint64) {
 	builder.PrependUint64Slot(0, ref, 0)
@@ -5841,6 +7035,12 @@
 func FrameAddProblem(builder *flatbuffers.Builder, problem flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(15, flatbuffers.UOffsetT(problem), 0)
 }
+func FrameAddMapAsk(builder *flatbuffers.Builder, mapAsk flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(16, flatbuffers.UOffsetT(mapAsk), 0)
+}
+func FrameAddMapTell(builder *flatbuffers.Builder, mapTell flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(17, flatbuffers.UOffsetT(mapTell), 0)
+}
 func FrameEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- /dev/null
+++ b/settle/admit_test.go
@@ -0,0 +1,121 @@
+package settle
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func addressed(n int) Roster {
+	r := voters(n)
+	for i := range r.Voters {
+		r.Voters[i].Addr = "at-" + r.Voters[i].Name
+	}
+	return r
+}
+
+func TestAdmit(t *testing.T) {
+	z := Voter{Name: "z", Addr: "at-z", Inc: 99}
+	for _, c := range []struct {
+		what    string
+		voters  int
+		v       Voter
+		silent  string // name=milliseconds
+		want    string // names after the step, "" for none
+		newcome bool
+	}{
+		{"a fourth is added to three", 3, z, "", "abcz", true},
+		{"a fifth is added to four", 4, z, "", "abcdz", true},
+		{"nine are enough", 9, z, "", "", false},
+		{"a disk lost, even", 4, Voter{Name: "b", Addr: "at-b", Inc: 99}, "", "acdb", true},
+		{"a disk lost, odd: it goes first", 3, Voter{Name: "b", Addr: "at-b", Inc: 99}, "", "ac", false},
+		{"then it comes", 2, Voter{Name: "c", Addr: "at-c", Inc: 99}, "", "abc", true},
+		{"another name at a voter's address", 4, Voter{Name: "z", Addr: "at-b", Inc: 99}, "", "acdz", true},
+		{"another address under a voter's name", 4, Voter{Name: "b", Addr: "at-z", Inc: 99}, "", "acdb", true},
+		{"a lost disk goes before a silent voter", 4, Voter{Name: "b", Addr: "at-b", Inc: 99}, "d=9000", "acdb", true},
+		{"a lost disk among nine", 9, Voter{Name: "b", Addr: "at-b", Inc: 99}, "", "acdefghi", false},
+		{"in already", 4, Voter{Name: "b", Addr: "at-b", Inc: 2}, "", "", false},
+		{"another's number", 4, Voter{Name: "z", Addr: "at-z", Inc: 2}, "d=9000", "", false},
+		{"a voter gone, even", 4, z, "c=1500", "abdz", true},
+		{"a voter gone, odd", 3, z, "c=1600", "ab", false},
+		{"the one longest gone", 6, z, "c=1600 e=1700", "abcdfz", true},
+		{"a gone one among nine", 9, z, "c=1600", "abdefghi", false},
+		{"none is added beside one in doubt", 4, z, "c=900", "", false},
+		{"a beat late is no doubt", 4, z, "c=400", "abcdz", true},
+		{"no majority heard", 4, z, "b=9000 c=9000", "", false},
+		{"no majority heard, a disk lost", 4, Voter{Name: "b", Addr: "at-b", Inc: 99}, "b=9000 c=9000", "", false},
+		{"one of two gone: no majority is left", 2, z, "b=9000", "", false},
+	} {
+		silent := map[string]int64{}
+		for _, f := range strings.Fields(c.silent) {
+			var ms int64
+			if _, err := fmt.Sscanf(f[2:], "%d", &ms); err != nil {
+				t.Fatal(err)
+			}
+			silent[f[:1]] = ms * 1000
+		}
+		r := addressed(c.voters)
+		n, ok := r.Admit(c.v, func(name string) int64 { return silent[name] }, MaxVoters)
+		got, in := "", false
+		for _, v := range n.Voters {
+			got += v.Name
+			in = in || v.Inc == c.v.Inc
+		}
+		if !ok {
+			got = ""
+		}
+		if got != c.want || ok && in != c.newcome {
+			t.Errorf("%s: got %q, newcomer in: %v", c.what, got, in)
+		}
+		if ok && (disjoint(r, n) || step(r, n) != nil) {
+			t.Errorf("%s: two majorities without a common voter", c.what)
+		}
+	}
+}
+
+// TestSilence counts from what this node could hear, never from before.
+func TestSilence(t *testing.T) {
+	n := New(Defaults("a", 1), addressed(3), 10_000_000, nil)
+	now := int64(10_000_000)
+	for ; now < 12_000_000; now += 25_000 {
+		n.Tick(now)
+		if now < 11_000_000 {
+			n.Recv(now, Msg{Kind: RosterAsk, From: "b", Inc: 2, Roster: n.Roster().Rev})
+			n.Recv(now, Msg{Kind: RosterAsk, From: "c", Inc: 77, Roster: n.Roster().Rev})
+		}
+	}
+	now -= 25_000
+	if b, c, a := n.Silence(now, "b"), n.Silence(now, "c"), n.Silence(now, "a"); b != 1_000_000 || c != 1_975_000 || a != 0 {
+		t.Fatalf("b is silent for %d, c (another life speaks) for %d, the node itself for %d", b, c, a)
+	}
+	now += 5_000_000 // held up: before the first tick after, and from it on
+	if b := n.Silence(now, "b"); b != 0 {
+		t.Fatalf("after a pause b counts as silent for %d", b)
+	}
+	n.Tick(now)
+	if b := n.Silence(now+100_000, "b"); b != 100_000 {
+		t.Fatalf("after a pause b counts as silent for %d", b)
+	}
+}
+
+// TestGrace: a disk that may have granted something waits a term after a start; one
+// that never did has nothing to wait for.
+func TestGrace(t *testing.T) {
+	for _, c := range []struct {
+		recs []Rec
+		want Kind
+	}{
+		{nil, SeekOK},
+		{[]Rec{{Kind: RecPromise, Slot: 3, Epoch: 0}}, SeekOK},
+		{[]Rec{{Kind: RecPromise, Slot: 3, Epoch: 1 << 16}}, SeekNo},
+	} {
+		n := New(Defaults("a", 1), addressed(3), 5_000_000, c.recs)
+		o := n.Recv(5_000_100, Msg{Kind: Seek, From: "b", Inc: 2, Roster: n.Roster().Rev, Slot: 5, Epoch: 1<<16 | 2})
+		if len(o.Sends) == 0 {
+			o = n.Synced(5_000_200, uint64(len(o.Recs)))
+		}
+		if len(o.Sends) != 1 || o.Sends[0].Msg.Kind != c.want {
+			t.Errorf("%+v: %+v", c.recs, o.Sends)
+		}
+	}
+}
--- a/settle/node.go
+++ b/settle/node.go
@@ -101,14 +101,17 @@
 	beatAt  int64
 	issued  uint64
 	synced  uint64
-	open    uint64 // the newest era heard of
+	open    uint64           // the newest era heard of
+	heard   map[string]int64 // voters, when last
+	listens int64            // since when this process runs without a pause
+	tickAt  int64
 	wait    []awaiting
 	size    int
 }
 
 // New makes a node at time now from the records its disk held.
 func New(p Plan, r Roster, now int64, recs []Rec) *Node {
-	n := &Node{p: p, roster: r, bootAt: now}
+	n := &Node{p: p, roster: r, bootAt: now, heard: map[string]int64{}, listens: now, tickAt: now}
 	for i := 0; i < p.Slots; i++ {
 		n.slots = append(n.slots, &slot{ent: map[string]Entry{}})
 	}
@@ -118,6 +121,14 @@
 	n.me, _ = n.roster.Find(p.Name)
 	n.me.Inc = p.Inc
 	n.coming = n.roster.Rev
+	voted := false
+	for _, s := range n.slots {
+		voted = voted || s.promised > 0
+	}
+	if !voted {
+		// A disk that granted nothing has no grant to wait out.
+		n.bootAt = now - p.Term
+	}
 	return n
 }
 
@@ -307,9 +318,17 @@
 // Size is the bytes of live state.
 func (n *Node) Size() int { return n.size }
 
+// pause is the time without a tick after which this process was held up itself, so
+// that it can't tell who was silent meanwhile.
+const pause = 300_000
+
 // Tick must be called often; a few times per beat.
 func (n *Node) Tick(now int64) Out {
 	var o Out
+	if now-n.tickAt > pause {
+		n.listens = now
+	}
+	n.tickAt = now
 	if !n.inRoster() {
 		return o
 	}
--- a/settle/recv.go
+++ b/settle/recv.go
@@ -9,6 +9,9 @@
 // know under that incarnation is not heard (design §4.6).
 func (n *Node) Recv(now int64, m Msg) Out {
 	var o Out
+	if v, ok := n.roster.Find(m.From); ok && v.Inc == m.Inc {
+		n.heard[m.From] = now
+	}
 	if m.Roster != n.roster.Rev && m.From != n.p.Name {
 		n.otherRoster(now, m, &o)
 		return o
--- a/settle/roster.go
+++ b/settle/roster.go
@@ -102,6 +102,59 @@
 	return nil
 }
 
+// MaxVoters bounds a roster that grows by itself.
+const MaxVoters = 9
+
+// Silences after which a voter's place is taken, and from which on nobody is added
+// beside it: it may be about to be replaced (design §4.6).
+const (
+	GoneAfter  = 1_500_000
+	DoubtAfter = 500_000
+)
+
+// Admit is the step that lets v in, if there is one to take now; silence tells for how
+// long a voter was not heard. Voters go only to make place:
+//   - one whose name or address v has, with another incarnation: that disk is lost;
+//   - else the one that is silent longest, once it counts as gone;
+//
+// else v is added, up to bound voters. An odd roster loses the voter first and gains v
+// by the step after. Nothing is done when no majority is heard.
+func (r Roster) Admit(v Voter, silence func(name string) int64, bound int) (Roster, bool) {
+	gone, doubt, heard := "", false, 0
+	var worst int64
+	for _, w := range r.Voters {
+		s := silence(w.Name)
+		if s < DoubtAfter {
+			heard++
+		} else {
+			doubt = true
+		}
+		if s >= GoneAfter && s > worst {
+			gone, worst = w.Name, s
+		}
+	}
+	if heard < r.Majority() {
+		return r, false
+	}
+	for _, w := range r.Voters {
+		if w.Inc == v.Inc {
+			return r, false // in already, or it makes itself out to be another
+		}
+	}
+	if i := slices.IndexFunc(r.Voters, func(w Voter) bool { return w.Name == v.Name || w.Addr == v.Addr && w.Addr != "" }); i >= 0 {
+		gone = r.Voters[i].Name
+	}
+	if gone == "" && (doubt || len(r.Voters) >= bound) {
+		return r, false
+	}
+	for _, come := range []*Voter{&v, nil} {
+		if n, err := r.Next(gone, come); err == nil {
+			return n, true
+		}
+	}
+	return r, false
+}
+
 // RosterKey is the register in which a roster's successor is settled.
 const RosterKey = "roster"
 
@@ -136,6 +189,42 @@
 	return true
 }
 
+// Silence is how long a voter of the roster has not been heard. It counts from the
+// start, from the step that let the voter in, and from the end of a pause of this
+// process: what this node could not hear proves nothing.
+func (n *Node) Silence(now int64, name string) int64 {
+	if name == n.p.Name || now-n.tickAt > pause {
+		return 0
+	}
+	return now - max(n.heard[name], n.listens)
+}
+
+// Admit takes the step that lets a newcomer in, if this node owns the roster's register
+// and may take one now; else the newcomer asks again.
+func (n *Node) Admit(now int64, v Voter) Out {
+	var o Out
+	i := SlotOf(RosterKey, n.p.Slots)
+	s := n.slots[i]
+	if _, busy := s.pend[RosterKey]; busy || s.st != owning || now >= s.ownUntil || n.leaving || !n.Firm() {
+		return o
+	}
+	r, ok := n.roster.Admit(v, func(name string) int64 { return n.Silence(now, name) }, MaxVoters)
+	if !ok {
+		return o
+	}
+	e, _ := s.seen(RosterKey)
+	o.Events = append(o.Events, fmt.Sprintf("admit=%s inc=%d step=%d voters=%d", v.Name, v.Inc, r.Step(), len(r.Voters)))
+	n.apply(now, i, s, Op{Kind: OpPut, Key: RosterKey, Val: r.Bytes(), Expect: e.Rev}, &o)
+	return o
+}
+
+// Learn takes in a roster that some voter has in force.
+func (n *Node) Learn(now int64, r Roster) Out {
+	var o Out
+	n.adoptRoster(now, r, &o)
+	return o
+}
+
 // inRoster reports whether this very disk votes.
 func (n *Node) inRoster() bool {
 	v, ok := n.roster.Find(n.p.Name)
@@ -170,18 +259,24 @@
 		if r.Rev <= n.roster.Rev {
 			return
 		}
+		was := n.roster
 		n.roster = r
 		n.me, _ = r.Find(n.p.Name)
 		n.me.Inc = n.p.Inc
+		for _, v := range r.Voters {
+			if w, ok := was.Find(v.Name); !ok || w.Inc != v.Inc {
+				n.heard[v.Name] = now
+			}
+		}
 		o.Roster = &r
 		o.Events = append(o.Events, fmt.Sprintf("roster=%d voters=%d in=%v", r.Step(), len(r.Voters), n.inRoster()))
 		for _, s := range n.slots {
 			if s.st == idle {
 				continue
 			}
-			was := s.st >= finishing
+			mine := s.st >= finishing
 			n.retreat(now, s, o)
-			if was {
+			if mine {
 				s.heldUntil, s.nextTry, s.first = now, now, true
 			}
 		}
