A roll-out never turns over 30% of the engines at once; clock restarts at a takeover

The bound itself counts only in a settled stretch, so a new holder of the duty counts namings from its own grant. Ruled out: the proxies' bound on old weights (24.7 s, far later), the core's cut itself. Orders are said again after 4 s instead of 1.5 s.

--- a/internal/app/steward/conduct.go
+++ b/internal/app/steward/conduct.go
@@ -26,6 +26,7 @@
 	holder string
 	fence  uint64
 	until  int64 // by this node's clock, counted from before it asked
+	since  int64 // when this node came to hold it
 	after  int64 // no order before: another may have given one just now
 	con    *rollout.Conductor
 	rev    uint64 // of the roll-out's register as written here
@@ -54,7 +55,7 @@
 		if err != nil {
 			t.log.Info("rollout_unreadable", "cause", err.Error())
 		}
-		d.con, d.rev = rollout.New(rollout.Defaults(t.s.Bounds.VersionApplyUS), now, s), a.Rev
+		d.con, d.rev = rollout.New(rollout.Defaults(t.s.Bounds.VersionApplyUS), now, d.since, s), a.Rev
 	}
 	var es []rollout.Engine
 	t.mu.Lock()
@@ -116,7 +117,7 @@
 		return now < d.until
 	}
 	if a.Rev != d.fence {
-		d.fence, d.con, d.after = a.Rev, nil, 0
+		d.fence, d.con, d.after, d.since = a.Rev, nil, 0, now-1_000_000
 		if a.Rev > 1 {
 			// Another held it before: orders of two must not come close together.
 			d.after = now + t.s.Bounds.LeaseUS + 200_000
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -73,13 +73,14 @@
 	Part    int64 // proxies are told so long before an order goes out
 	Each    int64 // what one engine's turn is expected to take, before any was seen
 	Least   int   // turns under way at one time, when there is time enough
+	Most    int   // thousandths of all engines that may be turning at one time
 	Again   int64 // an order without an answer is said again
 	Patient int64 // a turn that takes longer no longer counts against the others
 }
 
 // Defaults are the daemons' figures for a bound.
 func Defaults(within int64) Figures {
-	return Figures{Within: within, Part: 350_000, Each: 2_300_000, Least: 2, Again: 1_500_000, Patient: 6_000_000}
+	return Figures{Within: within, Part: 350_000, Each: 2_600_000, Least: 2, Most: 300, Again: 4_000_000, Patient: 6_000_000}
 }
 
 // Conductor works out what is to be done. It is not safe for concurrent use.
@@ -88,6 +89,7 @@
 	S     State
 	named map[string]naming
 	each  int64
+	since int64 // no naming counts from before it
 }
 
 type naming struct {
@@ -95,9 +97,10 @@
 	at      int64
 }
 
-// New makes a conductor that goes on from s.
-func New(f Figures, now int64, s State) *Conductor {
-	c := &Conductor{F: f, S: s, named: map[string]naming{}, each: f.Each}
+// New makes a conductor that goes on from s. Namings count from since at the earliest:
+// the bound runs anew when the core was unsettled, as it was if another held the duty.
+func New(f Figures, now, since int64, s State) *Conductor {
+	c := &Conductor{F: f, S: s, named: map[string]naming{}, each: f.Each, since: since}
 	if c.S.Turns == nil {
 		c.S.Turns = map[string]Turn{}
 	}
@@ -114,7 +117,7 @@
 // Name takes in the newest version of a model, and since when it is known.
 func (c *Conductor) Name(model string, version uint64, at int64) {
 	if n := c.named[model]; n.version < version {
-		c.named[model] = naming{version, at}
+		c.named[model] = naming{version, max(at, c.since)}
 	}
 }
 
@@ -160,7 +163,7 @@
 		}
 	}
 	for _, b := range behind {
-		if _, is := c.S.Turns[b.ID]; is || under >= c.atOnce(now, len(behind), b.model) {
+		if _, is := c.S.Turns[b.ID]; is || under >= c.atOnce(now, len(behind), len(live), b.model) {
 			continue
 		}
 		c.S.Turns[b.ID] = Turn{Model: b.model, Version: c.named[b.model].version, Phase: Parting, Since: now}
@@ -251,11 +254,14 @@
 	return out
 }
 
-// atOnce is how many turns must be under way so that all end in time.
-func (c *Conductor) atOnce(now int64, n int, model string) int {
-	left := c.F.Within*7/10 - (now - c.named[model].at)
+// atOnce is how many turns must be under way so that all end in time. Never so many
+// that those left can't carry the load: whoever is late then gets no new requests,
+// which is dear, but all turning at once is dearer.
+func (c *Conductor) atOnce(now int64, behind, all int, model string) int {
+	most := max(1, all*c.F.Most/1000)
+	left := c.F.Within*75/100 - (now - c.named[model].at)
 	if left <= c.each {
-		return max(c.F.Least, n)
+		return most
 	}
-	return max(c.F.Least, int((int64(n)*c.each+left-1)/left))
+	return min(most, max(c.F.Least, int((int64(behind)*c.each+left-1)/left)))
 }
--- a/route/bounds.go
+++ b/route/bounds.go
@@ -28,7 +28,8 @@
 }
 
 // DefaultBounds are used for figures that nobody set. The two that say who
-// enforces something are set to what asks the most of us.
+// enforces something are set to what asks the most of us, and further tries to
+// few.
 func DefaultBounds() Bounds {
 	const ms, s = 1000, 1_000_000
 	return Bounds{
