Proxies share their load through the stewards; the store is named only for what it lacks

Now source and engine are joined part by part. Proxies tell their stewards what they have under way at each engine; stewards tell each other. A successor of the conductor starts at once, but on no engine that may have been ordered within the lease.

--- a/internal/app/carrier/follow.go
+++ b/internal/app/carrier/follow.go
@@ -115,7 +115,7 @@
 	if f.c.view.Load().table == nil || f.fars[a].site == "" {
 		hold = 0
 	}
-	q := &fb.MapAskT{Node: f.c.self(), Inc: f.inc, Have: f.have, Map: f.seenMap, NewsInc: f.newsInc, NewsSince: f.newsAt, Hold: hold}
+	q := &fb.MapAskT{Node: f.c.self(), Inc: f.inc, Have: f.have, Map: f.seenMap, NewsInc: f.newsInc, NewsSince: f.newsAt, Hold: hold, Loads: f.c.loads()}
 	r, err := f.c.book.At(a).Call(ctx, &fb.FrameT{MapAsk: q}, hold+followPatient)
 	if ctx.Err() != nil {
 		return false
@@ -184,20 +184,32 @@
 	}
 	f.have = v.rev
 	v.named = map[string]naming{}
-	old := c.view.Load().named
 	for _, n := range t.Named {
-		x := naming{n.Version, at - n.Age}
-		if o := old[n.Model]; o.version > x.version || o.version == x.version && o.at < x.at {
-			x = o
-		}
-		v.named[n.Model] = x
+		v.named[n.Model] = naming{n.Version, at - n.Age}
 	}
 	c.view.Store(&v)
 	if t.Whole {
 		f.seenMap = t.Map
-		c.takeMap(t.Engines)
+		c.takeMap(t.Engines, v.table)
 	}
 	f.news(t)
+	others := map[uint64]placement.Load{}
+	for _, l := range t.Loads {
+		others[l.Node] = placement.Load{Active: int(l.Active), Reading: int64(l.Reading), Tokens: int64(l.Tokens)}
+	}
+	c.mu.Lock()
+	c.pick.Others(at, others)
+	c.mu.Unlock()
+}
+
+// loads tells what this proxy has under way.
+func (c *carrier) loads() (out []*fb.LoadT) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n, l := range c.pick.Own() {
+		out = append(out, &fb.LoadT{Node: n, Active: uint32(l.Active), Reading: uint32(l.Reading), Tokens: uint32(l.Tokens)})
+	}
+	return out
 }
 
 func (f *follower) news(t *fb.MapTellT) {
@@ -219,7 +231,7 @@
 }
 
 // takeMap gives the picker a new map of the fleet.
-func (c *carrier) takeMap(es []*fb.MapEngineT) {
+func (c *carrier) takeMap(es []*fb.MapEngineT, tab *route.Table) {
 	var l []*placement.Engine
 	var ss []placement.Store
 	for _, e := range es {
@@ -231,7 +243,13 @@
 		for _, m := range e.Weights {
 			w[m.Model] = m.Version
 		}
-		l = append(l, &placement.Engine{ID: e.Id, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining,
+		keep := int64(0)
+		if tab != nil {
+			if p := tab.Pool(e.Pool); p != nil {
+				keep = p.KeepTokens
+			}
+		}
+		l = append(l, &placement.Engine{Keep: keep, ID: e.Id, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining,
 			Turning: e.Turning, Down: e.Down, Slots: int(e.Slots), Weights: w})
 	}
 	c.mu.Lock()
--- a/internal/app/steward/conduct.go
+++ b/internal/app/steward/conduct.go
@@ -27,7 +27,6 @@
 	fence  uint64
 	until  int64 // by this node's clock, counted from before it asked
 	since  int64 // when this node came to hold it
-	after  int64 // no order before: another may have given one just now
 	con    *rollout.Conductor
 	rev    uint64 // of the roll-out's register as written here
 }
@@ -43,7 +42,7 @@
 		return
 	}
 	now = clock.Now()
-	if now >= d.until || now < d.after {
+	if now >= d.until {
 		return
 	}
 	if d.con == nil {
@@ -55,7 +54,7 @@
 		if err != nil {
 			t.log.Info("rollout_unreadable", "cause", err.Error())
 		}
-		d.con, d.rev = rollout.New(rollout.Defaults(t.s.Bounds.VersionApplyUS), now, d.since, s), a.Rev
+		d.con, d.rev = rollout.New(rollout.Defaults(t.s.Bounds.VersionApplyUS, t.s.Bounds.LeaseUS), now, d.since, s), a.Rev
 	}
 	var es []rollout.Engine
 	t.mu.Lock()
@@ -117,11 +116,7 @@
 		return now < d.until
 	}
 	if a.Rev != d.fence {
-		d.fence, d.con, d.after, d.since = a.Rev, nil, 0, now-1_000_000
-		if a.Rev > 1 {
-			// Another held it before: orders of two must not come close together.
-			d.after = now + t.s.Bounds.LeaseUS + 200_000
-		}
+		d.fence, d.con, d.since = a.Rev, nil, now-unsettledFor
 		t.log.Info("duty", "key", WeightsDuty, "fence", a.Rev)
 	}
 	d.until = now + term - leaseSlack
--- a/internal/app/steward/port.go
+++ b/internal/app/steward/port.go
@@ -71,4 +71,6 @@
 	Voters() []string
 	Live(now int64) []*fb.NodeT
 	Heard(now int64, n *fb.NodeT)
+	// Tell sends a frame to the other control nodes; nobody answers.
+	Tell(f *fb.FrameT)
 }
--- a/internal/app/steward/steward.go
+++ b/internal/app/steward/steward.go
@@ -70,8 +70,23 @@
 	box     *cue.Outbox
 	kept    map[uint64]map[cue.Key]bool
 	dealer  *dealer
+	proxies map[string]*proxy
+	duty    register
+	dutyAt  int64 // when the holder of the weights' duty was seen to change
 }
 
+// proxy is what a proxy has under way, as last told here or to another steward.
+type proxy struct {
+	at    int64
+	here  bool
+	loads []*fb.LoadT
+}
+
+const (
+	loadsOld   = 1_500_000
+	loadsEvery = 200_000
+)
+
 // register is a key of the control state as last vouched for.
 type register struct {
 	known bool
@@ -87,7 +102,7 @@
 		panic(err) // no machine of ours is without random numbers
 	}
 	t := &Steward{s: s, log: c.Log(), crew: c, ctl: ctl, pf: pf, inc: binary.LittleEndian.Uint64(b[:])>>24 | 1,
-		bell: make(chan struct{}), first: map[string]map[uint64]int64{}, readers: map[string]*reader{}, kept: map[uint64]map[cue.Key]bool{}, mapRev: 1}
+		bell: make(chan struct{}), first: map[string]map[uint64]int64{}, readers: map[string]*reader{}, kept: map[uint64]map[cue.Key]bool{}, mapRev: 1, proxies: map[string]*proxy{}}
 	t.box = cue.NewOutbox(t.inc, 1<<13, t.allKept)
 	t.dealer = &dealer{looked: map[string]int64{}, holder: fmt.Sprintf("%s#%x", s.Name, t.inc)}
 	every := func(name string, us int64, f func(context.Context)) {
@@ -96,6 +111,7 @@
 	every("steward.registers", refreshEvery, t.refresh)
 	every("steward.list", s.ListEvery, t.list)
 	every("steward.conduct", conductEvery, t.conduct)
+	every("steward.loads", loadsEvery, t.tellLoads)
 	return t
 }
 
@@ -128,6 +144,11 @@
 			}
 		}
 	})
+	t.read(ctx, WeightsDuty, &t.duty, func(_ []byte, rev uint64) {
+		if rev > 1 {
+			t.dutyAt = clock.Now() - unsettledFor
+		}
+	})
 	t.read(ctx, RolloutKey, &t.roll, func(v []byte, _ uint64) {
 		if s, err := rollout.Read(v); err == nil {
 			t.state = s
@@ -162,11 +183,67 @@
 	if fresh {
 		r.val = a.Val
 		take(a.Val, a.Rev)
-		t.mapRev++
-		t.ring()
+		if key != WeightsDuty {
+			t.mapRev++
+			t.ring()
+		}
 	}
 }
 
+// unsettledFor is how long before a change of the duty's holder the core may have
+// been settled again: a lease runs out a while after its holder was lost.
+const unsettledFor = 4_000_000
+
+// tellLoads tells the other stewards what the proxies that ask here have under way.
+func (t *Steward) tellLoads(context.Context) {
+	now := clock.Now()
+	m := &fb.LoadTellT{}
+	t.mu.Lock()
+	for n, p := range t.proxies {
+		switch {
+		case now-p.at > loadsOld:
+			delete(t.proxies, n)
+		case p.here:
+			m.Proxies = append(m.Proxies, &fb.ProxyLoadT{Name: n, Age: now - p.at, Loads: p.loads})
+		}
+	}
+	t.mu.Unlock()
+	if len(m.Proxies) == 0 {
+		return
+	}
+	t.ctl.Tell(&fb.FrameT{LoadTell: m})
+}
+
+func (t *Steward) hearLoads(now int64, m *fb.LoadTellT) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range m.Proxies {
+		if o := t.proxies[p.Name]; p.Age >= 0 && (o == nil || o.at < now-p.Age) {
+			t.proxies[p.Name] = &proxy{now - p.Age, false, p.Loads}
+		}
+	}
+}
+
+// others sums what all proxies but one have under way. Called under the lock.
+func (t *Steward) others(now int64, but string) (out []*fb.LoadT) {
+	sum := map[uint64]*fb.LoadT{}
+	for n, p := range t.proxies {
+		if n == but || now-p.at > loadsOld {
+			continue
+		}
+		for _, l := range p.loads {
+			x := sum[l.Node]
+			if x == nil {
+				x = &fb.LoadT{Node: l.Node}
+				sum[l.Node] = x
+				out = append(out, x)
+			}
+			x.Active, x.Reading, x.Tokens = x.Active+l.Active, x.Reading+l.Reading, x.Tokens+l.Tokens
+		}
+	}
+	return out
+}
+
 // list asks the platform which engines there are.
 func (t *Steward) list(ctx context.Context) {
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(900_000))
@@ -319,13 +396,20 @@
 
 // Handle answers proxies. Anything else is not its own.
 func (t *Steward) Handle(ctx context.Context, f *fb.FrameT) *fb.FrameT {
+	now := clock.Now()
+	if f.LoadTell != nil {
+		t.hearLoads(now, f.LoadTell)
+		return nil
+	}
 	if f.MapAsk == nil {
 		return nil
 	}
 	q := f.MapAsk
-	now := clock.Now()
 	if q.Node != nil {
 		t.ctl.Heard(now, q.Node)
+		t.mu.Lock()
+		t.proxies[q.Node.Name] = &proxy{now, true, q.Loads}
+		t.mu.Unlock()
 	}
 	end := now + min(max(q.Hold, 0), holdMost)
 	for {
@@ -367,7 +451,10 @@
 		a.Engines = t.engines()
 	}
 	for m, w := range t.wanted {
-		a.Named = append(a.Named, &fb.NamedT{Model: m, Version: w, Age: now - t.first[m][w]})
+		a.Named = append(a.Named, &fb.NamedT{Model: m, Version: w, Age: now - max(t.first[m][w], t.dutyAt)})
+	}
+	if q.Node != nil {
+		a.Loads = t.others(now, q.Node.Name)
 	}
 	sort.Slice(a.Named, func(i, j int) bool { return a.Named[i].Model < a.Named[j].Model })
 	b := t.box.Since(q.NewsInc, q.NewsSince, 4096)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -72,7 +72,7 @@
 			}
 			return
 		}
-		if f.Settle != nil || f.RollTell != nil {
+		if f.Settle != nil || f.RollTell != nil || f.LoadTell != nil {
 			h(ctx, f) // in order, and unanswered
 			continue
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,6 +18,7 @@
 	Turning              bool // about to take other weights
 	Down                 bool // it does not answer the fleet's own questions
 	Slots                int
+	Keep                 int64             // tokens that its memory holds, 0 if not known
 	Weights              map[string]uint64 // version of each model it runs
 }
 
@@ -55,6 +56,7 @@
 	Read    int // tokens that the engine has to read
 	Moved   int // tokens that it is told to take from Source
 	Hit     int // tokens hinted to be there already
+	Tokens  int // that its memory holds for the request
 	Keys    []cue.Key
 }
 
@@ -68,25 +70,33 @@
 	OtherSite  int64
 	PerRunning int64 // for each request running at an engine
 	PerWaiting int64
-	LoadOld    int64 // an engine's own word on its load counts no longer than this
+	FullFrom   float64 // part of an engine's memory that requests may take freely
+	PerFull    int64   // for a whole memory beyond that
+	LoadOld    int64   // an engine's own word on its load counts no longer than this
 }
 
 // Defaults are where the daemons start from.
 func Defaults() Figures {
 	return Figures{ReadPerMS: 110, MovePerMS: 2500, MoveFixed: 6_000, MoveAvoid: 20_000, HomeStep: 25_000,
-		OtherSite: 1_500, PerRunning: 700, PerWaiting: 15_000, LoadOld: 1_000_000}
+		OtherSite: 1_500, PerRunning: 700, PerWaiting: 15_000, FullFrom: 0.5, PerFull: 600_000, LoadOld: 1_000_000}
+}
+
+// Load is what is under way at an engine.
+type Load struct {
+	Active  int   // requests
+	Reading int64 // prompt tokens not read yet
+	Tokens  int64 // that its memory holds for them
 }
 
 // seen is what this proxy knows of an engine by itself.
 type seen struct {
-	active  int   // its own requests there
-	reading int64 // tokens of its own requests that have no first event yet
+	own     Load  // its own requests there
+	others  Load  // those of the other proxies, as last told
 	rest    int64 // not used until then
 	bad     int   // failures in a row
 	running int   // as the engine said in its last answer
 	waiting int
 	loadAt  int64
-	asOf    int // own requests there when it said so
 }
 
 // Picker is a proxy's placement. It is not safe for concurrent use.
@@ -99,6 +109,7 @@
 	byNode  map[uint64]*Engine
 	stores  []Store
 	seen    map[string]*seen
+	toldAt  int64 // when the others' loads were told
 	hints   *cue.Holders
 	buf     []uint64
 }
@@ -127,7 +138,7 @@
 		}
 	}
 	for id, s := range p.seen {
-		if p.byID[id] == nil && s.active == 0 {
+		if p.byID[id] == nil && s.own.Active == 0 {
 			delete(p.seen, id)
 		}
 	}
@@ -174,29 +185,37 @@
 	return x ^ x>>29
 }
 
-// held counts the tokens of the leading parts that each holder is hinted to keep,
-// under one salt. The request's own last part is not asked for.
-func (p *Picker) held(r *Request, ks []cue.Key) map[uint64]int {
-	out := map[uint64]int{}
-	sum := 0
-	for i := range ks {
-		before := sum
-		sum += r.Parts[i].Tokens
-		p.buf = p.hints.Get(ks[i], p.buf[:0])
-		any := false
-		for _, n := range p.buf {
-			if i == 0 || out[n] == before {
-				out[n] = sum
-				any = true
+// held tells for each part which holders are hinted to keep it, under one salt.
+func (p *Picker) held(ks []cue.Key) []map[uint64]bool {
+	out := make([]map[uint64]bool, len(ks))
+	for i, k := range ks {
+		p.buf = p.hints.Get(k, p.buf[:0])
+		if len(p.buf) > 0 {
+			out[i] = make(map[uint64]bool, len(p.buf))
+			for _, n := range p.buf {
+				out[i][n] = true
 			}
 		}
-		if !any {
-			break
-		}
 	}
 	return out
 }
 
+// cover walks a prompt from its start for as long as one of two holders keeps each
+// part: hit counts the tokens that the first keeps, moved those of the second alone.
+func cover(r *Request, held []map[uint64]bool, own, src uint64) (hit, moved int) {
+	for i, x := range r.Parts {
+		switch {
+		case held[i][own]:
+			hit += x.Tokens
+		case src != 0 && held[i][src]:
+			moved += x.Tokens
+		default:
+			return hit, moved
+		}
+	}
+	return hit, moved
+}
+
 // shared is how many leading parts others may use as well.
 func shared(r *Request) int { return max(0, len(r.Parts)-1) }
 
@@ -213,7 +232,7 @@
 func (p *Picker) Pick(now int64, r *Request) (Choice, bool) {
 	type salted struct {
 		ks   []cue.Key
-		held map[uint64]int
+		held []map[uint64]bool
 		salt string
 	}
 	by := map[uint64]*salted{}
@@ -249,16 +268,15 @@
 		if g == nil {
 			g = &salted{salt: Salt(r.Wall, v)}
 			g.ks = Keys(r, g.salt)
-			g.held = p.held(r, g.ks)
+			g.held = p.held(g.ks)
 			by[v] = g
 		}
-		c := Choice{Engine: e, Version: v, Salt: g.salt, Keys: g.ks}
-		own := g.held[EngineNode(e.ID)]
-		c.Hit = own
-		move := int64(0)
-		c.Source, c.Moved, move = p.source(e, g.held, own)
-		c.Read = max(0, r.Tokens-own-c.Moved)
-		cost := p.busy(now, e) + int64(float64(c.Read)/p.F.ReadPerMS*1000)
+		c := Choice{Engine: e, Version: v, Salt: g.salt, Keys: g.ks, Tokens: r.Tokens + r.Out}
+		c.Hit, _ = cover(r, g.held, EngineNode(e.ID), 0)
+		own, move := c.Hit, int64(0)
+		c.Source, c.Moved, move = p.source(r, e, g.held, &c.Hit)
+		c.Read = max(0, r.Tokens-c.Hit-c.Moved)
+		cost := p.busy(now, e, r) + int64(float64(c.Read)/p.F.ReadPerMS*1000)
 		if c.Moved > 0 {
 			cost += move + p.F.MoveAvoid
 		}
@@ -272,7 +290,7 @@
 			best, bc = c, cost
 		}
 	}
-	best.Dest = p.dest(r, by[best.Version].held)
+	best.Dest = p.dest(r, &best, by[best.Version].held)
 	return best, true
 }
 
@@ -285,30 +303,36 @@
 	return out
 }
 
-// source is the best holder of what the engine lacks: an engine or a store.
-func (p *Picker) source(e *Engine, held map[uint64]int, own int) (addr string, tokens int, us int64) {
-	bestC := int64(-1)
-	at := func(a, site string, n int) {
-		if n <= own {
+// source is the best holder of what the engine lacks: an engine or a store. Parts
+// that the engine keeps behind a gap count as soon as the source fills the gap.
+func (p *Picker) source(r *Request, e *Engine, held []map[uint64]bool, hit *int) (addr string, tokens int, us int64) {
+	own, best, all := EngineNode(e.ID), *hit, *hit
+	at := func(node uint64, a, site string) {
+		h, m := cover(r, held, own, node)
+		if m == 0 || h+m < best {
 			return
 		}
-		c := p.moving(site == e.Site, n-own)
+		c := p.moving(site == e.Site, m)
 		// The longest prefix wins; among equals the cheapest to move.
-		if n-own > tokens || n-own == tokens && c < bestC {
-			addr, tokens, us, bestC = a, n-own, c, c
+		if h+m > best || c < us {
+			best, addr, tokens, us, all = h+m, a, m, c, h
 		}
 	}
-	for node, n := range held {
-		if o := p.byNode[node]; o != nil && o != e && !o.Down {
-			at(o.Addr, o.Site, n)
+	done := map[uint64]bool{own: true}
+	for _, hs := range held {
+		for node := range hs {
+			if o := p.byNode[node]; o != nil && !done[node] && !o.Down {
+				done[node] = true
+				at(node, o.Addr, o.Site)
+			}
 		}
 	}
 	for _, s := range p.stores {
-		if s.Down {
-			continue // a dead source is waited for
+		if !s.Down { // a dead source is waited for
+			at(StoreNode(s.Addr), s.Addr, s.Site)
 		}
-		at(s.Addr, s.Site, held[StoreNode(s.Addr)])
 	}
+	*hit = all
 	return addr, tokens, us
 }
 
@@ -320,20 +344,21 @@
 	return us + p.F.MoveFixed
 }
 
-// dest is the store that should get the shared parts, if it lacks any of them.
-func (p *Picker) dest(r *Request, held map[uint64]int) string {
-	want := 0
-	for _, x := range r.Parts[:shared(r)] {
-		want += x.Tokens
-	}
-	if want == 0 || len(p.stores) == 0 {
+// dest is the store that should get the shared parts, if the engine has to read any
+// that the store lacks. What is read of the request's own goes there as well, which
+// drives others out: so no store is named for that alone.
+func (p *Picker) dest(r *Request, c *Choice, held []map[uint64]bool) string {
+	if len(p.stores) == 0 || p.stores[0].Down {
 		return ""
 	}
 	s := p.stores[0]
-	if s.Down || held[StoreNode(s.Addr)] >= want {
-		return ""
+	sum, there := 0, c.Hit+c.Moved
+	for i, x := range r.Parts[:shared(r)] {
+		if sum += x.Tokens; sum > there && !held[i][StoreNode(s.Addr)] {
+			return s.Addr
+		}
 	}
-	return s.Addr
+	return ""
 }
 
 // downCost keeps requests from an engine that looks down while there is another. It is
@@ -341,17 +366,25 @@
 const downCost = 400_000
 
 // busy is how long an engine would keep a new request waiting, as far as known.
-func (p *Picker) busy(now int64, e *Engine) int64 {
+func (p *Picker) busy(now int64, e *Engine, r *Request) int64 {
 	s := p.seen[e.ID]
-	run, wait := s.active, 0
+	// What the others had to read is read on meanwhile.
+	rest := max(0, float64(s.others.Reading)-p.F.ReadPerMS*float64(now-p.toldAt)/1000)
+	run, wait := s.own.Active+s.others.Active, 0
 	if s.loadAt > 0 && now-s.loadAt < p.F.LoadOld {
-		run = max(run, s.running+s.active-s.asOf)
 		wait = s.waiting
 	}
-	c := int64(float64(s.reading)/p.F.ReadPerMS*1000) + int64(run)*p.F.PerRunning + int64(wait)*p.F.PerWaiting
+	c := int64((float64(s.own.Reading)+rest)/p.F.ReadPerMS*1000) + int64(run)*p.F.PerRunning + int64(wait)*p.F.PerWaiting
 	if e.Slots > 0 && run >= e.Slots {
 		c += int64(run-e.Slots+1) * 50_000
 	}
+	if e.Keep > 0 {
+		// Requests share their memory with what is kept; when it runs out some are put
+		// back and read anew.
+		if full := float64(s.own.Tokens+s.others.Tokens+int64(r.Tokens+r.Out)) / float64(e.Keep); full > p.F.FullFrom {
+			c += int64((full - p.F.FullFrom) * float64(p.F.PerFull))
+		}
+	}
 	if e.Down {
 		c += downCost
 	}
@@ -361,15 +394,16 @@
 // Sent notes that a request went to the chosen engine.
 func (p *Picker) Sent(c *Choice) {
 	if s := p.seen[c.Engine.ID]; s != nil {
-		s.active++
-		s.reading += int64(c.Read)
+		s.own.Active++
+		s.own.Reading += int64(c.Read)
+		s.own.Tokens += int64(c.Tokens)
 	}
 }
 
 // Began notes the first event of an answer: what was read is kept there now.
 func (p *Picker) Began(c *Choice) {
 	if s := p.seen[c.Engine.ID]; s != nil {
-		s.reading = max(0, s.reading-int64(c.Read))
+		s.own.Reading = max(0, s.own.Reading-int64(c.Read))
 		s.bad = 0
 	}
 }
@@ -380,16 +414,36 @@
 	if s == nil {
 		return
 	}
-	s.active = max(0, s.active-1)
+	s.own.Active = max(0, s.own.Active-1)
+	s.own.Tokens = max(0, s.own.Tokens-int64(c.Tokens))
 	if !began {
-		s.reading = max(0, s.reading-int64(c.Read))
+		s.own.Reading = max(0, s.own.Reading-int64(c.Read))
+	}
+}
+
+// Own lists what this proxy has under way, by engine's node.
+func (p *Picker) Own() map[uint64]Load {
+	out := map[uint64]Load{}
+	for id, s := range p.seen {
+		if s.own.Active > 0 {
+			out[EngineNode(id)] = s.own
+		}
+	}
+	return out
+}
+
+// Others takes in what the other proxies have under way, as of at.
+func (p *Picker) Others(at int64, l map[uint64]Load) {
+	p.toldAt = at
+	for id, s := range p.seen {
+		s.others = l[EngineNode(id)]
 	}
 }
 
 // Load notes what an engine said of its load.
 func (p *Picker) Load(now int64, id string, running, waiting, slots int) {
 	if s := p.seen[id]; s != nil {
-		s.running, s.waiting, s.loadAt, s.asOf = running, waiting, now, s.active
+		s.running, s.waiting, s.loadAt = running, waiting, now
 	}
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -78,9 +78,10 @@
 	Patient int64 // a turn that takes longer no longer counts against the others
 }
 
-// Defaults are the daemons' figures for a bound.
-func Defaults(within int64) Figures {
-	return Figures{Within: within, Part: 350_000, Each: 2_600_000, Least: 2, Most: 300, Again: 4_000_000, Patient: 6_000_000}
+// Defaults are the daemons' figures for a bound, and for the lease within which two
+// holders must not both order one engine.
+func Defaults(within, lease int64) Figures {
+	return Figures{Within: within, Part: 350_000, Each: 2_600_000, Least: 2, Most: 300, Again: max(4_000_000, lease+1_000_000), Patient: 6_000_000}
 }
 
 // Conductor works out what is to be done. It is not safe for concurrent use.
@@ -108,7 +109,8 @@
 		c.S.Done = map[string]map[string]uint64{}
 	}
 	for id, t := range c.S.Turns {
-		t.Since = now
+		// If an order is out, it was another's: none of ours may follow within the lease.
+		t.Since, t.Told, t.Tells = now, now, 1
 		c.S.Turns[id] = t
 	}
 	return c
@@ -178,7 +180,7 @@
 			c.S.Turns[id] = t
 			changed = true
 			orders = append(orders, Order{id, live[id].Addr, t.Model, t.Version})
-		case t.Phase == Ordered && now-t.Told >= c.F.Again<<min(t.Tells, 2)/2:
+		case t.Phase == Ordered && now-t.Told >= c.F.Again:
 			t.Told, t.Tells = now, t.Tells+1
 			c.S.Turns[id] = t
 			orders = append(orders, Order{id, live[id].Addr, t.Model, t.Version})
@@ -203,7 +205,6 @@
 func (c *Conductor) Refused(now int64, id string) {
 	if t, ok := c.S.Turns[id]; ok && t.Phase == Ordered {
 		t.Told = now - c.F.Again + 300_000
-		t.Tells = 0
 		c.S.Turns[id] = t
 	}
 }
@@ -259,7 +260,7 @@
 // which is dear, but all turning at once is dearer.
 func (c *Conductor) atOnce(now int64, behind, all int, model string) int {
 	most := max(1, all*c.F.Most/1000)
-	left := c.F.Within*75/100 - (now - c.named[model].at)
+	left := c.F.Within*82/100 - (now - c.named[model].at)
 	if left <= c.each {
 		return most
 	}
--- a/schema/fb/desk_generated.go
+++ b/schema/fb/desk_generated.go
@@ -5837,13 +5837,14 @@
 }
 
 type MapAskT struct {
-	Node      *NodeT `json:"node"`
-	Inc       uint64 `json:"inc"`
-	Have      uint64 `json:"have"`
-	Map       uint64 `json:"map"`
-	NewsInc   uint64 `json:"news_inc"`
-	NewsSince uint64 `json:"news_since"`
-	Hold      int64  `json:"hold"`
+	Node      *NodeT   `json:"node"`
+	Inc       uint64   `json:"inc"`
+	Have      uint64   `json:"have"`
+	Map       uint64   `json:"map"`
+	NewsInc   uint64   `json:"news_inc"`
+	NewsSince uint64   `json:"news_since"`
+	Hold      int64    `json:"hold"`
+	Loads     []*LoadT `json:"loads"`
 }
 
 func (t *MapAskT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -5851,6 +5852,19 @@
 		return 0
 	}
 	nodeOffset := t.Node.Pack(builder)
+	loadsOffset := flatbuffers.UOffsetT(0)
+	if t.Loads != nil {
+		loadsLength := len(t.Loads)
+		loadsOffsets := make([]flatbuffers.UOffsetT, loadsLength)
+		for j := 0; j < loadsLength; j++ {
+			loadsOffsets[j] = t.Loads[j].Pack(builder)
+		}
+		MapAskStartLoadsVector(builder, loadsLength)
+		for j := loadsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(loadsOffsets[j])
+		}
+		loadsOffset = builder.EndVector(loadsLength)
+	}
 	MapAskStart(builder)
 	MapAskAddNode(builder, nodeOffset)
 	MapAskAddInc(builder, t.Inc)
@@ -5859,6 +5873,7 @@
 	MapAskAddNewsInc(builder, t.NewsInc)
 	MapAskAddNewsSince(builder, t.NewsSince)
 	MapAskAddHold(builder, t.Hold)
+	MapAskAddLoads(builder, loadsOffset)
 	return MapAskEnd(builder)
 }
 
@@ -5870,6 +5885,13 @@
 	t.NewsInc = rcv.NewsInc()
 	t.NewsSince = rcv.NewsSince()
 	t.Hold = rcv.Hold()
+	loadsLength := rcv.LoadsLength()
+	t.Loads = make([]*LoadT, loadsLength)
+	for j := 0; j < loadsLength; j++ {
+		x := Load{}
+		rcv.Loads(&x, j)
+		t.Loads[j] = x.UnPack()
+	}
 }
 
 func (rcv *MapAsk) UnPack() *MapAskT {
@@ -5993,8 +6015,28 @@
 	return rcv._tab.MutateInt64Slot(16, n)
 }
 
+func (rcv *MapAsk) Loads(obj *Load, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *MapAsk) LoadsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func MapAskStart(builder *flatbuffers.Builder) {
-	builder.StartObject(7)
+	builder.StartObject(8)
 }
 func MapAskAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -6017,10 +6059,388 @@
 func MapAskAddHold(builder *flatbuffers.Builder, hold int64) {
 	builder.PrependInt64Slot(6, hold, 0)
 }
+func MapAskAddLoads(builder *flatbuffers.Builder, loads flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(7, flatbuffers.UOffsetT(loads), 0)
+}
+func MapAskStartLoadsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func MapAskEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
 
+type LoadT struct {
+	Node    uint64 `json:"node"`
+	Active  uint32 `json:"active"`
+	Reading uint32 `json:"reading"`
+	Tokens  uint32 `json:"tokens"`
+}
+
+func (t *LoadT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	LoadStart(builder)
+	LoadAddNode(builder, t.Node)
+	LoadAddActive(builder, t.Active)
+	LoadAddReading(builder, t.Reading)
+	LoadAddTokens(builder, t.Tokens)
+	return LoadEnd(builder)
+}
+
+func (rcv *Load) UnPackTo(t *LoadT) {
+	t.Node = rcv.Node()
+	t.Active = rcv.Active()
+	t.Reading = rcv.Reading()
+	t.Tokens = rcv.Tokens()
+}
+
+func (rcv *Load) UnPack() *LoadT {
+	if rcv == nil {
+		return nil
+	}
+	t := &LoadT{}
+	rcv.UnPackTo(t)
+	return t
+}
+
+type Load struct {
+	_tab flatbuffers.Table
+}
+
+func GetRootAsLoad(buf []byte, offset flatbuffers.UOffsetT) *Load {
+	n := flatbuffers.GetUOffsetT(buf[offset:])
+	x := &Load{}
+	x.Init(buf, n+offset)
+	return x
+}
+
+func GetSizePrefixedRootAsLoad(buf []byte, offset flatbuffers.UOffsetT) *Load {
+	n := flatbuffers.GetUOffsetT(buf[offset+flatbuffers.SizeUint32:])
+	x := &Load{}
+	x.Init(buf, n+offset+flatbuffers.SizeUint32)
+	return x
+}
+
+func (rcv *Load) Init(buf []byte, i flatbuffers.UOffsetT) {
+	rcv._tab.Bytes = buf
+	rcv._tab.Pos = i
+}
+
+func (rcv *Load) Table() flatbuffers.Table {
+	return rcv._tab
+}
+
+func (rcv *Load) Node() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Load) MutateNode(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(4, n)
+}
+
+func (rcv *Load) Active() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Load) MutateActive(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(6, n)
+}
+
+func (rcv *Load) Reading() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Load) MutateReading(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(8, n)
+}
+
+func (rcv *Load) Tokens() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Load) MutateTokens(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(10, n)
+}
+
+func LoadStart(builder *flatbuffers.Builder) {
+	builder.StartObject(4)
+}
+func LoadAddNode(builder *flatbuffers.Builder, node uint64) {
+	builder.PrependUint64Slot(0, node, 0)
+}
+func LoadAddActive(builder *flatbuffers.Builder, active uint32) {
+	builder.PrependUint32Slot(1, active, 0)
+}
+func LoadAddReading(builder *flatbuffers.Builder, reading uint32) {
+	builder.PrependUint32Slot(2, reading, 0)
+}
+func LoadAddTokens(builder *flatbuffers.Builder, tokens uint32) {
+	builder.PrependUint32Slot(3, tokens, 0)
+}
+func LoadEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	return builder.EndObject()
+}
+
+type ProxyLoadT struct {
+	Name  string   `json:"name"`
+	Age   int64    `json:"age"`
+	Loads []*LoadT `json:"loads"`
+}
+
+func (t *ProxyLoadT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	nameOffset := builder.CreateString(t.Name)
+	loadsOffset := flatbuffers.UOffsetT(0)
+	if t.Loads != nil {
+		loadsLength := len(t.Loads)
+		loadsOffsets := make([]flatbuffers.UOffsetT, loadsLength)
+		for j := 0; j < loadsLength; j++ {
+			loadsOffsets[j] = t.Loads[j].Pack(builder)
+		}
+		ProxyLoadStartLoadsVector(builder, loadsLength)
+		for j := loadsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(loadsOffsets[j])
+		}
+		loadsOffset = builder.EndVector(loadsLength)
+	}
+	ProxyLoadStart(builder)
+	ProxyLoadAddName(builder, nameOffset)
+	ProxyLoadAddAge(builder, t.Age)
+	ProxyLoadAddLoads(builder, loadsOffset)
+	return ProxyLoadEnd(builder)
+}
+
+func (rcv *ProxyLoad) UnPackTo(t *ProxyLoadT) {
+	t.Name = string(rcv.Name())
+	t.Age = rcv.Age()
+	loadsLength := rcv.LoadsLength()
+	t.Loads = make([]*LoadT, loadsLength)
+	for j := 0; j < loadsLength; j++ {
+		x := Load{}
+		rcv.Loads(&x, j)
+		t.Loads[j] = x.UnPack()
+	}
+}
+
+func (rcv *ProxyLoad) UnPack() *ProxyLoadT {
+	if rcv == nil {
+		return nil
+	}
+	t := &ProxyLoadT{}
+	rcv.UnPackTo(t)
+	return t
+}
+
+type ProxyLoad struct {
+	_tab flatbuffers.Table
+}
+
+func GetRootAsProxyLoad(buf []byte, offset flatbuffers.UOffsetT) *ProxyLoad {
+	n := flatbuffers.GetUOffsetT(buf[offset:])
+	x := &ProxyLoad{}
+	x.Init(buf, n+offset)
+	return x
+}
+
+func GetSizePrefixedRootAsProxyLoad(buf []byte, offset flatbuffers.UOffsetT) *ProxyLoad {
+	n := flatbuffers.GetUOffsetT(buf[offset+flatbuffers.SizeUint32:])
+	x := &ProxyLoad{}
+	x.Init(buf, n+offset+flatbuffers.SizeUint32)
+	return x
+}
+
+func (rcv *ProxyLoad) Init(buf []byte, i flatbuffers.UOffsetT) {
+	rcv._tab.Bytes = buf
+	rcv._tab.Pos = i
+}
+
+func (rcv *ProxyLoad) Table() flatbuffers.Table {
+	return rcv._tab
+}
+
+func (rcv *ProxyLoad) Name() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *ProxyLoad) Age() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *ProxyLoad) MutateAge(n int64) bool {
+	return rcv._tab.MutateInt64Slot(6, n)
+}
+
+func (rcv *ProxyLoad) Loads(obj *Load, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *ProxyLoad) LoadsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func ProxyLoadStart(builder *flatbuffers.Builder) {
+	builder.StartObject(3)
+}
+func ProxyLoadAddName(builder *flatbuffers.Builder, name flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(name), 0)
+}
+func ProxyLoadAddAge(builder *flatbuffers.Builder, age int64) {
+	builder.PrependInt64Slot(1, age, 0)
+}
+func ProxyLoadAddLoads(builder *flatbuffers.Builder, loads flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(2, flatbuffers.UOffsetT(loads), 0)
+}
+func ProxyLoadStartLoadsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func ProxyLoadEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	return builder.EndObject()
+}
+
+type LoadTellT struct {
+	Proxies []*ProxyLoadT `json:"proxies"`
+}
+
+func (t *LoadTellT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	proxiesOffset := flatbuffers.UOffsetT(0)
+	if t.Proxies != nil {
+		proxiesLength := len(t.Proxies)
+		proxiesOffsets := make([]flatbuffers.UOffsetT, proxiesLength)
+		for j := 0; j < proxiesLength; j++ {
+			proxiesOffsets[j] = t.Proxies[j].Pack(builder)
+		}
+		LoadTellStartProxiesVector(builder, proxiesLength)
+		for j := proxiesLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(proxiesOffsets[j])
+		}
+		proxiesOffset = builder.EndVector(proxiesLength)
+	}
+	LoadTellStart(builder)
+	LoadTellAddProxies(builder, proxiesOffset)
+	return LoadTellEnd(builder)
+}
+
+func (rcv *LoadTell) UnPackTo(t *LoadTellT) {
+	proxiesLength := rcv.ProxiesLength()
+	t.Proxies = make([]*ProxyLoadT, proxiesLength)
+	for j := 0; j < proxiesLength; j++ {
+		x := ProxyLoad{}
+		rcv.Proxies(&x, j)
+		t.Proxies[j] = x.UnPack()
+	}
+}
+
+func (rcv *LoadTell) UnPack() *LoadTellT {
+	if rcv == nil {
+		return nil
+	}
+	t := &LoadTellT{}
+	rcv.UnPackTo(t)
+	return t
+}
+
+type LoadTell struct {
+	_tab flatbuffers.Table
+}
+
+func GetRootAsLoadTell(buf []byte, offset flatbuffers.UOffsetT) *LoadTell {
+	n := flatbuffers.GetUOffsetT(buf[offset:])
+	x := &LoadTell{}
+	x.Init(buf, n+offset)
+	return x
+}
+
+func GetSizePrefixedRootAsLoadTell(buf []byte, offset flatbuffers.UOffsetT) *LoadTell {
+	n := flatbuffers.GetUOffsetT(buf[offset+flatbuffers.SizeUint32:])
+	x := &LoadTell{}
+	x.Init(buf, n+offset+flatbuffers.SizeUint32)
+	return x
+}
+
+func (rcv *LoadTell) Init(buf []byte, i flatbuffers.UOffsetT) {
+	rcv._tab.Bytes = buf
+	rcv._tab.Pos = i
+}
+
+func (rcv *LoadTell) Table() flatbuffers.Table {
+	return rcv._tab
+}
+
+func (rcv *LoadTell) Proxies(obj *ProxyLoad, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *LoadTell) ProxiesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func LoadTellStart(builder *flatbuffers.Builder) {
+	builder.StartObject(1)
+}
+func LoadTellAddProxies(builder *flatbuffers.Builder, proxies flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(proxies), 0)
+}
+func LoadTellStartProxiesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func LoadTellEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
+	return builder.EndObject()
+}
+
 type MapTellT struct {
 	Inc       uint64        `json:"inc"`
 	Site      string        `json:"site"`
@@ -6040,6 +6460,7 @@
 	NewsNext  uint64        `json:"news_next"`
 	NewsReset bool          `json:"news_reset"`
 	News      []*NewsT      `json:"news"`
+	Loads     []*LoadT      `json:"loads"`
 }
 
 func (t *MapTellT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6103,6 +6524,19 @@
 		}
 		newsOffset = builder.EndVector(newsLength)
 	}
+	loadsOffset := flatbuffers.UOffsetT(0)
+	if t.Loads != nil {
+		loadsLength := len(t.Loads)
+		loadsOffsets := make([]flatbuffers.UOffsetT, loadsLength)
+		for j := 0; j < loadsLength; j++ {
+			loadsOffsets[j] = t.Loads[j].Pack(builder)
+		}
+		MapTellStartLoadsVector(builder, loadsLength)
+		for j := loadsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(loadsOffsets[j])
+		}
+		loadsOffset = builder.EndVector(loadsLength)
+	}
 	MapTellStart(builder)
 	MapTellAddInc(builder, t.Inc)
 	MapTellAddSite(builder, siteOffset)
@@ -6122,6 +6556,7 @@
 	MapTellAddNewsNext(builder, t.NewsNext)
 	MapTellAddNewsReset(builder, t.NewsReset)
 	MapTellAddNews(builder, newsOffset)
+	MapTellAddLoads(builder, loadsOffset)
 	return MapTellEnd(builder)
 }
 
@@ -6166,6 +6601,13 @@
 		rcv.News(&x, j)
 		t.News[j] = x.UnPack()
 	}
+	loadsLength := rcv.LoadsLength()
+	t.Loads = make([]*LoadT, loadsLength)
+	for j := 0; j < loadsLength; j++ {
+		x := Load{}
+		rcv.Loads(&x, j)
+		t.Loads[j] = x.UnPack()
+	}
 }
 
 func (rcv *MapTell) UnPack() *MapTellT {
@@ -6467,8 +6909,28 @@
 	return 0
 }
 
+func (rcv *MapTell) Loads(obj *Load, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(40))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *MapTell) LoadsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(40))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func MapTellStart(builder *flatbuffers.Builder) {
-	builder.StartObject(18)
+	builder.StartObject(19)
 }
 func MapTellAddInc(builder *flatbuffers.Builder, inc uint64) {
 	builder.PrependUint64Slot(0, inc, 0)
@@ -6539,6 +7001,12 @@
 func MapTellStartNewsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func MapTellAddLoads(builder *flatbuffers.Builder, loads flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(18, flatbuffers.UOffsetT(loads), 0)
+}
+func MapTellStartLoadsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func MapTellEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
@@ -6649,6 +7117,7 @@
 	Problem   *ProblemT   `json:"problem"`
 	MapAsk    *MapAskT    `json:"map_ask"`
 	MapTell   *MapTellT   `json:"map_tell"`
+	LoadTell  *LoadTellT  `json:"load_tell"`
 }
 
 func (t *FrameT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6672,6 +7141,7 @@
 	problemOffset := t.Problem.Pack(builder)
 	mapAskOffset := t.MapAsk.Pack(builder)
 	mapTellOffset := t.MapTell.Pack(builder)
+	loadTellOffset := t.LoadTell.Pack(builder)
 	FrameStart(builder)
 	FrameAddRef(builder, t.Ref)
 	FrameAddSettle(builder, settleOffset)
@@ -6691,6 +7161,7 @@
 	FrameAddProblem(builder, problemOffset)
 	FrameAddMapAsk(builder, mapAskOffset)
 	FrameAddMapTell(builder, mapTellOffset)
+	FrameAddLoadTell(builder, loadTellOffset)
 	return FrameEnd(builder)
 }
 
@@ -6713,6 +7184,7 @@
 	t.Problem = rcv.Problem(nil).UnPack()
 	t.MapAsk = rcv.MapAsk(nil).UnPack()
 	t.MapTell = rcv.MapTell(nil).UnPack()
+	t.LoadTell = rcv.LoadTell(nil).UnPack()
 }
 
 func (rcv *Frame) UnPack() *FrameT {
@@ -6984,8 +7456,21 @@
 	return nil
 }
 
+func (rcv *Frame) LoadTell(obj *LoadTell) *LoadTell {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(40))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(LoadTell)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
 func FrameStart(builder *flatbuffers.Builder) {
-	builder.StartObject(18)
+	builder.StartObject(19)
 }
 func FrameAddRef(builder *flatbuffers.Builder, ref uint64) {
 	builder.PrependUint64Slot(0, ref, 0)
@@ -7041,6 +7526,9 @@
 func FrameAddMapTell(builder *flatbuffers.Builder, mapTell flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(17, flatbuffers.UOffsetT(mapTell), 0)
 }
+func FrameAddLoadTell(builder *flatbuffers.Builder, loadTell flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(18, flatbuffers.UOffsetT(loadTell), 0)
+}
 func FrameEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
