--- a/internal/app/registrar/heard.go
+++ b/internal/app/registrar/heard.go
@@ -4,3 +4,12 @@
 
 // Heard keeps a node that asked here a member (design §4.7).
 func (r *Node) Heard(now int64, n *fb.NodeT) { r.roll.Beat(now, n) }
+
+// Tell sends a frame to the other voters; it may be lost.
+func (r *Node) Tell(f *fb.FrameT) {
+	for _, a := range r.Voters() {
+		if a != r.s.Wire {
+			r.book.At(a).Send(f)
+		}
+	}
+}
