--- a/cue/parts.go
+++ b/cue/parts.go
@@ -24,21 +24,21 @@
 	return binary.LittleEndian.Uint32(h[24:])
 }
 
-// Holders keeps up to four holders of each part in one table, each in an entry of
+// Holders keeps up to sixteen holders of each part in one table, each in an entry of
 // its own. One writer at a time; readers take no lock.
 type Holders struct{ t *Table }
 
 // NewHolders makes a table with room for n entries.
 func NewHolders(n int) *Holders { return &Holders{NewTable(n)} }
 
-// spread are the places of a key's entries.
-var spread = [ways]uint64{0, 0x9e3779b97f4a7c15, 0xc2b2ae3d27d4eb4f, 0x165667b19e3779f9}
+const mostHolders = 16
 
-func (k Key) at(i int) Key { return Key{k.Hi, k.Lo ^ spread[i], k.Check} }
+// at is the place of a key's i-th entry.
+func (k Key) at(i int) Key { return Key{k.Hi, k.Lo ^ uint64(i)*0x9e3779b97f4a7c15, k.Check} }
 
 // Get appends the hinted holders of a part to out.
 func (h *Holders) Get(k Key, out []uint64) []uint64 {
-	for i := range spread {
+	for i := range mostHolders {
 		if n, ok := h.t.Get(k.at(i)); ok {
 			out = append(out, n)
 		}
@@ -46,10 +46,10 @@
 	return out
 }
 
-// Put adds a holder. When there are four already, one of them goes.
+// Put adds a holder. Where there is no room for another, one of them goes.
 func (h *Holders) Put(k Key, node uint64) {
 	free := -1
-	for i := range spread {
+	for i := range mostHolders {
 		n, ok := h.t.Get(k.at(i))
 		if ok && n == node {
 			return
@@ -59,14 +59,14 @@
 		}
 	}
 	if free < 0 {
-		free = int(node % ways)
+		free = int(node % mostHolders)
 	}
 	h.t.Put(k.at(free), node)
 }
 
 // Drop forgets a holder of a part.
 func (h *Holders) Drop(k Key, node uint64) {
-	for i := range spread {
+	for i := range mostHolders {
 		if n, ok := h.t.Get(k.at(i)); ok && n == node {
 			h.t.Drop(k.at(i), node)
 		}
--- a/internal/app/carrier/follow.go
+++ b/internal/app/carrier/follow.go
@@ -199,6 +199,7 @@
 	}
 	c.mu.Lock()
 	c.pick.Others(at, others)
+	c.pick.Complete = t.Complete && !t.NewsReset
 	c.mu.Unlock()
 }
 
--- a/internal/app/steward/steward.go
+++ b/internal/app/steward/steward.go
@@ -330,6 +330,7 @@
 	epoch string
 	since string
 	bad   int // questions in a row that failed
+	asked bool
 }
 
 func (r *reader) run(ctx context.Context) {
@@ -342,6 +343,7 @@
 		}
 		r.t.mu.Lock()
 		was := r.bad >= darkAfter
+		r.asked = true
 		if err != nil {
 			r.bad++
 		} else {
@@ -457,6 +459,10 @@
 		a.Loads = t.others(now, q.Node.Name)
 	}
 	sort.Slice(a.Named, func(i, j int) bool { return a.Named[i].Model < a.Named[j].Model })
+	a.Complete = len(t.readers) > 0
+	for _, r := range t.readers {
+		a.Complete = a.Complete && r.asked
+	}
 	b := t.box.Since(q.NewsInc, q.NewsSince, 4096)
 	a.NewsInc, a.NewsNext, a.NewsReset = b.Inc, b.Next, b.Reset
 	for _, n := range b.News {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -101,17 +101,20 @@
 
 // Picker is a proxy's placement. It is not safe for concurrent use.
 type Picker struct {
-	F       Figures
-	site    string
-	engines []*Engine
-	byPool  map[string][]*Engine
-	byID    map[string]*Engine
-	byNode  map[uint64]*Engine
-	stores  []Store
-	seen    map[string]*seen
-	toldAt  int64 // when the others' loads were told
-	hints   *cue.Holders
-	buf     []uint64
+	F Figures
+	// Complete says that the hints are as complete as they get: until then nothing is
+	// sent to a store that may well have it.
+	Complete bool
+	site     string
+	engines  []*Engine
+	byPool   map[string][]*Engine
+	byID     map[string]*Engine
+	byNode   map[uint64]*Engine
+	stores   []Store
+	seen     map[string]*seen
+	toldAt   int64 // when the others' loads were told
+	hints    *cue.Holders
+	buf      []uint64
 }
 
 // StoreNode is the holder that stands for a store.
@@ -290,6 +293,11 @@
 			best, bc = c, cost
 		}
 	}
+	if best.Source == "" && shared(r) > 0 && len(p.stores) > 0 && !p.stores[0].Down {
+		// News is late and some is lost. To ask the store for nothing costs a moment,
+		// to read a part again a hundred times as much.
+		best.Source = p.stores[0].Addr
+	}
 	best.Dest = p.dest(r, &best, by[best.Version].held)
 	return best, true
 }
@@ -348,7 +356,7 @@
 // that the store lacks. What is read of the request's own goes there as well, which
 // drives others out: so no store is named for that alone.
 func (p *Picker) dest(r *Request, c *Choice, held []map[uint64]bool) string {
-	if len(p.stores) == 0 || p.stores[0].Down {
+	if len(p.stores) == 0 || p.stores[0].Down || !p.Complete {
 		return ""
 	}
 	s := p.stores[0]
--- a/schema/fb/desk_generated.go
+++ b/schema/fb/desk_generated.go
@@ -6461,6 +6461,7 @@
 	NewsReset bool          `json:"news_reset"`
 	News      []*NewsT      `json:"news"`
 	Loads     []*LoadT      `json:"loads"`
+	Complete  bool          `json:"complete"`
 }
 
 func (t *MapTellT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6557,6 +6558,7 @@
 	MapTellAddNewsReset(builder, t.NewsReset)
 	MapTellAddNews(builder, newsOffset)
 	MapTellAddLoads(builder, loadsOffset)
+	MapTellAddComplete(builder, t.Complete)
 	return MapTellEnd(builder)
 }
 
@@ -6608,6 +6610,7 @@
 		rcv.Loads(&x, j)
 		t.Loads[j] = x.UnPack()
 	}
+	t.Complete = rcv.Complete()
 }
 
 func (rcv *MapTell) UnPack() *MapTellT {
@@ -6929,8 +6932,20 @@
 	return 0
 }
 
+func (rcv *MapTell) Complete() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(42))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *MapTell) MutateComplete(n bool) bool {
+	return rcv._tab.MutateBoolSlot(42, n)
+}
+
 func MapTellStart(builder *flatbuffers.Builder) {
-	builder.StartObject(19)
+	builder.StartObject(20)
 }
 func MapTellAddInc(builder *flatbuffers.Builder, inc uint64) {
 	builder.PrependUint64Slot(0, inc, 0)
@@ -7007,6 +7022,9 @@
 func MapTellStartLoadsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func MapTellAddComplete(builder *flatbuffers.Builder, complete bool) {
+	builder.PrependBoolSlot(19, complete, false)
+}
 func MapTellEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
