--- a/internal/app/steward/steward.go
+++ b/internal/app/steward/steward.go
@@ -46,6 +46,7 @@
 	newsPause    = 150_000 // between questions to one engine, so that news comes in lots
 	newsHold     = 900_000
 	holdMost     = 400_000
+	mapPause     = 60_000
 	darkAfter    = 2 // questions in a row that failed, until an engine counts as down
 )
 
@@ -84,8 +85,13 @@
 	at    int64
 	here  bool
 	loads []*fb.LoadT
+	rest  []cue.News // of a snapshot that it gets in pages
 }
 
+// newsPage bounds the news in one answer: proxies' links are narrow, and an answer that
+// takes too long is given up and asked of another steward, who would begin anew.
+const newsPage = 1500
+
 const (
 	loadsOld   = 1_500_000
 	loadsEvery = 200_000
@@ -226,7 +232,7 @@
 	defer t.mu.Unlock()
 	for _, p := range m.Proxies {
 		if o := t.proxies[p.Name]; p.Age >= 0 && (o == nil || o.at < now-p.Age) {
-			t.proxies[p.Name] = &proxy{now - p.Age, false, p.Loads}
+			t.proxies[p.Name] = &proxy{at: now - p.Age, loads: p.Loads}
 		}
 	}
 }
@@ -417,14 +423,22 @@
 	if q.Node != nil {
 		t.ctl.Heard(now, q.Node)
 		t.mu.Lock()
-		t.proxies[q.Node.Name] = &proxy{now, true, q.Loads}
+		x := &proxy{at: now, here: true, loads: q.Loads}
+		if o := t.proxies[q.Node.Name]; o != nil && o.here {
+			x.rest = o.rest
+		}
+		t.proxies[q.Node.Name] = x
 		t.mu.Unlock()
 	}
 	end := now + min(max(q.Hold, 0), holdMost)
 	for {
 		t.mu.Lock()
 		bell := t.bell
-		urgent := t.conf.known && q.Have != t.conf.rev || q.Inc != t.inc || q.Map != t.mapRev
+		urgent := t.conf.known && q.Have != t.conf.rev || q.Inc != t.inc || q.NewsInc != t.inc || len(t.restOf(q)) > 0 ||
+			q.Map != t.mapRev && clock.Now()-now >= mapPause
+		if q.Map != t.mapRev {
+			end = min(end, now+mapPause) // changes of the map come in lots
+		}
 		t.mu.Unlock()
 		left := end - clock.Now()
 		if urgent || left <= 0 {
@@ -471,11 +485,11 @@
 		x, y := a.Named[i], a.Named[j]
 		return x.Model < y.Model || x.Model == y.Model && x.Version < y.Version
 	})
-	a.Complete = len(t.readers) > 0
+	b := t.news(q)
+	a.Complete = len(t.readers) > 0 && len(t.restOf(q)) == 0
 	for _, r := range t.readers {
 		a.Complete = a.Complete && r.asked
 	}
-	b := t.box.Since(q.NewsInc, q.NewsSince, 4096)
 	a.NewsInc, a.NewsNext, a.NewsReset = b.Inc, b.Next, b.Reset
 	for _, n := range b.News {
 		a.News = append(a.News, &fb.NewsT{Hi: n.Key.Hi, Lo: n.Key.Lo, Check: n.Key.Check, Node: n.Node, Op: byte(n.Op)})
@@ -483,6 +497,34 @@
 	return a
 }
 
+func (t *Steward) restOf(q *fb.MapAskT) []cue.News {
+	if q.Node == nil || t.proxies[q.Node.Name] == nil {
+		return nil
+	}
+	return t.proxies[q.Node.Name].rest
+}
+
+// news is the next page for a proxy. Called under the lock.
+func (t *Steward) news(q *fb.MapAskT) cue.Batch {
+	var x *proxy
+	if q.Node != nil {
+		x = t.proxies[q.Node.Name]
+	}
+	if x != nil && len(x.rest) > 0 && q.NewsInc == t.inc {
+		b := cue.Batch{Inc: q.NewsInc, Next: q.NewsSince, News: x.rest[:min(newsPage, len(x.rest))]}
+		x.rest = x.rest[len(b.News):]
+		return b
+	}
+	b := t.box.Since(q.NewsInc, q.NewsSince, newsPage)
+	if x != nil {
+		x.rest = nil
+		if b.Reset && len(b.News) > newsPage {
+			b.News, x.rest = b.News[:newsPage], b.News[newsPage:]
+		}
+	}
+	return b
+}
+
 // newestOf is the newest named version of each model.
 func newestOf(d *route.WeightsDoc) map[string]uint64 {
 	out := map[string]uint64{}
