--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -85,7 +85,7 @@
 // Defaults are the daemons' figures for a bound, and for the lease within which two
 // holders must not both order one engine.
 func Defaults(within, lease int64) Figures {
-	return Figures{Within: within, Part: 350_000, Each: 2_600_000, Least: 2, Most: 270, Lease: lease + 500_000, Again: max(4_000_000, lease+1_000_000), Patient: 6_000_000}
+	return Figures{Within: within, Part: 350_000, Each: 2_600_000, Least: 2, Most: 300, Lease: lease + 500_000, Again: max(4_000_000, lease+1_000_000), Patient: 6_000_000}
 }
 
 // Conductor works out what is to be done. It is not safe for concurrent use.
@@ -305,7 +305,7 @@
 // which is dear, but all turning at once is dearer.
 func (c *Conductor) atOnce(now int64, behind, all int, model string) int {
 	most := (all*c.F.Most + 999) / 1000
-	left := c.F.Within*82/100 - (now - c.named[model].at)
+	left := c.F.Within*78/100 - (now - c.named[model].at)
 	if left <= c.each {
 		return most
 	}
