--- a/internal/app/carrier/follow.go
+++ b/internal/app/carrier/follow.go
@@ -194,9 +194,11 @@
 		}
 	}
 	f.have = v.rev
-	v.named = map[string][]naming{}
-	for _, n := range t.Named {
-		v.named[n.Model] = append(v.named[n.Model], naming{n.Version, at - n.Age})
+	if t.Whole {
+		v.named = map[string][]naming{}
+		for _, n := range t.Named {
+			v.named[n.Model] = append(v.named[n.Model], naming{n.Version, at - n.Age})
+		}
 	}
 	c.view.Store(&v)
 	if t.Whole {
--- a/internal/app/steward/steward.go
+++ b/internal/app/steward/steward.go
@@ -219,10 +219,8 @@
 	if fresh {
 		r.val = a.Val
 		take(a.Val, a.Rev)
-		if key != WeightsDuty {
-			t.mapRev++
-			t.ring()
-		}
+		t.mapRev++
+		t.ring()
 	}
 }
 
@@ -566,10 +564,10 @@
 	if q.Inc != t.inc || q.Map != t.mapRev {
 		a.Whole = true
 		a.Engines = t.engines()
-	}
-	for m, ws := range t.first {
-		for w, at := range ws {
-			a.Named = append(a.Named, &fb.NamedT{Model: m, Version: w, Age: now - max(at, t.dutyAt)})
+		for m, ws := range t.first {
+			for w, at := range ws {
+				a.Named = append(a.Named, &fb.NamedT{Model: m, Version: w, Age: now - max(at, t.dutyAt)})
+			}
 		}
 	}
 	sort.Slice(a.Named, func(i, j int) bool {
--- /dev/null
+++ b/internal/scale/hollow_test.go
@@ -0,0 +1,320 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/integrii/flaggy"
+
+	"violetthread/cue"
+	"violetthread/internal/app/carrier"
+	"violetthread/internal/app/steward"
+	"violetthread/internal/base"
+	"violetthread/internal/crew"
+	"violetthread/internal/link"
+	"violetthread/platform"
+	"violetthread/route"
+	"violetthread/schema/fb"
+)
+
+// stewards are two scripted ones: the answer to the n-th question is the same, whoever
+// of them is asked. After the script they say nothing more.
+type stewards struct {
+	mu     sync.Mutex
+	addrs  []string
+	script []func(at string) *fb.MapTellT
+	asked  []string
+	done   chan struct{}
+}
+
+func play(t *testing.T, c *crew.Crew, ls []net.Listener, script []func(string) *fb.MapTellT) *stewards {
+	s := &stewards{script: script, done: make(chan struct{})}
+	for _, l := range ls {
+		a := l.Addr().String()
+		s.addrs = append(s.addrs, a)
+		link.Serve(c, l, func(ctx context.Context, f *fb.FrameT) *fb.FrameT { return s.answer(ctx, a, f) })
+	}
+	return s
+}
+
+func (s *stewards) answer(ctx context.Context, at string, f *fb.FrameT) *fb.FrameT {
+	if f.MapAsk == nil {
+		return nil
+	}
+	s.mu.Lock()
+	i := len(s.asked)
+	if i < len(s.script) {
+		q := *f.MapAsk
+		n := *q.Node
+		// Its life, its page and whether it serves callers already are its own affair.
+		n.Inc, n.Http, n.Ready = 0, "", false
+		q.Node = &n
+		b, _ := json.Marshal(q)
+		s.asked = append(s.asked, at+" "+string(b))
+		if len(s.asked) == len(s.script) {
+			close(s.done)
+		}
+	}
+	s.mu.Unlock()
+	if i >= len(s.script) {
+		<-ctx.Done()
+		return nil
+	}
+	t := s.script[i](at)
+	if t == nil {
+		return nil
+	}
+	return &fb.FrameT{MapTell: t}
+}
+
+func listen(t *testing.T, at ...string) (ls []net.Listener) {
+	t.Helper()
+	for _, a := range at {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ls = append(ls, l)
+	}
+	return ls
+}
+
+func free(t *testing.T) string {
+	l := listen(t, "127.0.0.1:0")[0]
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func document(version uint64) []byte {
+	return (&route.Document{Version: version, Text: fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[]}`, version)}).Bytes()
+}
+
+// TestHollowAsksAsARealOne: a real proxy and a hollow one ask two scripted control nodes
+// the same, in the same order and of the same one, through a start, news, a change, a
+// restart of the control node, one that falls behind, and one that fails.
+func TestHollowAsksAsARealOne(t *testing.T) {
+	addrs := []string{free(t), free(t)}
+	site := map[string]string{addrs[0]: "north", addrs[1]: "south"}
+	tell := func(at string, rev, inc, m, next uint64, more func(*fb.MapTellT)) *fb.MapTellT {
+		a := &fb.MapTellT{Inc: inc, Site: site[at], Known: rev > 0, Rev: rev, Map: m, Voters: addrs, NewsInc: inc, NewsNext: next, Proxies: 1, Complete: true}
+		if more != nil {
+			more(a)
+		}
+		return a
+	}
+	step := func(rev, inc, m, next uint64, more func(*fb.MapTellT)) func(string) *fb.MapTellT {
+		return func(at string) *fb.MapTellT { return tell(at, rev, inc, m, next, more) }
+	}
+	whole := func(v uint64) func(*fb.MapTellT) {
+		return func(a *fb.MapTellT) {
+			a.Whole, a.Config = true, document(v)
+			a.Engines = []*fb.MapEngineT{{Id: "e", Pool: "p", Addr: "127.0.0.1:9", Site: "north", Slots: 4}}
+		}
+	}
+	script := []func(string) *fb.MapTellT{
+		step(0, 5, 1, 0, nil), // knows no configuration yet
+		step(1, 5, 3, 10, func(a *fb.MapTellT) { whole(1)(a); a.NewsReset = true }),
+		step(1, 5, 3, 10, nil),
+		step(1, 5, 3, 12, func(a *fb.MapTellT) {
+			a.News = []*fb.NewsT{{Hi: 1, Lo: 2, Node: 3, Op: 1}, {Hi: 1, Lo: 2, Node: 3, Op: 2}}
+		}),
+		step(2, 5, 4, 12, whole(2)),
+		step(2, 9, 1, 1, func(a *fb.MapTellT) { a.Whole, a.NewsReset = true, true }), // another life of it
+		step(2, 9, 1, 1, nil),
+		step(1, 9, 1, 1, func(a *fb.MapTellT) { a.Config = document(1) }),   // an older configuration
+		step(2, 9, 1, 1, func(a *fb.MapTellT) { a.Age = staleWord + 1000 }), // it may be cut off
+		step(2, 7, 2, 5, whole(2)),
+		step(2, 7, 2, 6, nil),
+		step(2, 8, 3, 6, nil), // another life, and no map yet
+		step(2, 8, 3, 6, whole(2)),
+		func(string) *fb.MapTellT { return nil }, // it fails
+		step(2, 7, 2, 6, nil),
+		step(2, 7, 2, 7, nil),
+	}
+	run := func(what string, start func(c *crew.Crew) (stop func())) []string {
+		c := crew.New(context.Background(), logr.Discard())
+		s := play(t, c, listen(t, addrs...), script)
+		stop := start(c)
+		select {
+		case <-s.done:
+		case <-time.After(20 * time.Second):
+			t.Errorf("the %s proxy asked %d times only", what, len(s.asked))
+		}
+		stop()
+		c.Stop()
+		return s.asked
+	}
+	hollow := run("hollow", func(c *crew.Crew) func() {
+		p := NewProxy(c, 0, "proxy-1", "north", addrs, NewBoard(1), []uint64{1}, 0)
+		c.Go("hollow", p.Run)
+		return func() {}
+	})
+	real := run("real", func(c *crew.Crew) func() {
+		d, err := carrier.New(carrier.Settings{Name: "proxy-1", Site: "north", HTTP: free(t), Listen: free(t), Seeds: addrs, Bounds: route.DefaultBounds(), Hints: 64}, platform.Door{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var over sync.WaitGroup
+		over.Add(1)
+		c.Go("real", func(context.Context) {
+			defer over.Done()
+			_ = d.Run()
+		})
+		return func() {
+			d.Crew.Stop()
+			d.Stop()
+			over.Wait()
+		}
+	})
+	for i := range min(len(real), len(hollow)) {
+		if real[i] != hollow[i] {
+			t.Errorf("question %d:\nreal   %s\nhollow %s", i, real[i], hollow[i])
+		}
+	}
+	if len(real) != len(script) || len(hollow) != len(script) {
+		t.Errorf("%d and %d questions of %d", len(real), len(hollow), len(script))
+	}
+}
+
+// TestHollowEngines are read by what reads real ones: the list, all that is kept, and
+// what changes, whose names come to the keys that are timed.
+func TestHollowEngines(t *testing.T) {
+	c := crew.New(context.Background(), logr.Discard())
+	defer c.Stop()
+	b := NewBoard(1)
+	list := free(t)
+	es, err := StartEngines(c, list, 3, 10, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pf := platform.NewEngines(list)
+	es.Toggle(1)
+	l, err := pf.List(context.Background())
+	if err != nil || len(l) != 3 || l[0].Draining || !l[1].Draining || l[2].Slots == 0 || l[2].Weights["model-02"] != 1 {
+		t.Fatalf("%+v, %v", l, err)
+	}
+	kept := map[string]map[cue.Key]bool{}
+	epoch, since := map[string]string{}, map[string]string{}
+	read := func(a string) {
+		p, err := pf.News(context.Background(), a, since[a], 0)
+		if err != nil || p.Missing || epoch[a] != "" && p.Epoch != epoch[a] {
+			t.Fatalf("%+v, %v", p, err)
+		}
+		if kept[a] == nil {
+			kept[a] = map[cue.Key]bool{}
+		}
+		epoch[a], since[a] = p.Epoch, p.Next
+		for _, x := range p.Changes {
+			k := cue.PartKey(x.Salt, x.Model, x.Part)
+			if kept[a][k] == x.Kept {
+				t.Fatalf("%s told %+v twice", a, x)
+			}
+			if kept[a][k] = x.Kept; !x.Kept {
+				delete(kept[a], k)
+			}
+		}
+	}
+	sum := func() (n int) {
+		for _, m := range kept {
+			n += len(m)
+		}
+		return n
+	}
+	for _, e := range l {
+		read(e.Addr)
+	}
+	if sum() != 10 {
+		t.Fatalf("%d parts are kept, not 10", sum())
+	}
+	for range 50 {
+		es.bring(77, 20)
+	}
+	for _, e := range l {
+		read(e.Addr)
+	}
+	if n := sum(); n < 10 || n > 13 {
+		t.Errorf("%d parts are kept after as many came as went", n)
+	}
+	if len(b.born) < 40 {
+		t.Errorf("%d parts were timed", len(b.born))
+	}
+	for _, e := range es.all {
+		for _, n := range e.kept {
+			if !kept[e.addr][e.key(n)] {
+				t.Errorf("%s keeps part %d and did not tell", e.id, n)
+			}
+		}
+	}
+	if r := pf.Order(context.Background(), steward.Order{Engine: l[0].ID, Addr: l[0].Addr, Model: "model-00", Version: 2}); r != steward.Doing {
+		t.Errorf("an order was answered %v", r)
+	}
+	if w, busy, err := pf.Running(context.Background(), l[0].Addr); err != nil || busy || !reflect.DeepEqual(w, map[string]uint64{"model-00": 1}) {
+		t.Errorf("it runs %v, %v, %v", w, busy, err)
+	}
+}
+
+// TestWrongOptions: every mistake is listed at once, with how to mend it.
+func TestWrongOptions(t *testing.T) {
+	s := Defaults()
+	sub := flaggy.NewSubcommand("run")
+	p := flaggy.NewParser("scale")
+	p.AttachSubcommand(sub, 1)
+	base.Flags(sub, &s)
+	if err := p.ParseArgs([]string{"run", "--proxies", "0", "--engines", "many", "--role", "nobody", "--list", "here", "--seconds", "90", "--control-pids", "7,x", "--wires", "127.0.0.1:1"}); err != nil {
+		t.Fatal(err)
+	}
+	err := base.Fill(&s, base.Given(&s))
+	if err == nil {
+		t.Fatal("it was taken")
+	}
+	for _, want := range []string{"--proxies", "--engines: is not a whole number", "--role", "--list", "--seconds", "--control-pids", "--controls", "--out"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not listed in\n%v", want, err)
+		}
+	}
+}
+
+// TestWrongCounts: ids and addresses must be as many.
+func TestWrongCounts(t *testing.T) {
+	s := Defaults()
+	s.Controls, s.ControlPids = []string{"127.0.0.1:1", "127.0.0.1:2"}, []string{"7"}
+	if _, err := Measure(s, logr.Discard()); err == nil || !strings.Contains(err.Error(), "control-pids") {
+		t.Fatal(err)
+	}
+}
+
+// TestProcess measures this one.
+func TestProcess(t *testing.T) {
+	a, err := processClock(os.Getpid())
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := 0
+	for i := range 20_000_000 {
+		x ^= i
+	}
+	b, err := processClock(os.Getpid())
+	if err != nil || b <= a || x < 0 {
+		t.Fatalf("from %d to %d, %v", a, b, err)
+	}
+	rss, peak, err := memory(os.Getpid())
+	if err != nil || rss <= 0 || peak < rss {
+		t.Fatalf("%v, %v, %v", rss, peak, err)
+	}
+	if _, _, err := memory(1 << 30); err == nil {
+		t.Error("a process that is not there was measured")
+	}
+	m := parseMetrics(strings.NewReader("# HELP x\nvioletthread_link_sent_bytes_total 1.5e+03\ngo_x 7\n"))
+	if m["link_sent_bytes_total"] != 1500 || m["go_x"] != 7 {
+		t.Errorf("%v", m)
+	}
+}
--- /dev/null
+++ b/internal/scale/index_test.go
@@ -0,0 +1,131 @@
+package scale
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"violetthread/cue"
+	"violetthread/internal/wire"
+	"violetthread/schema/fb"
+)
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+const indexed = 400_000
+
+func indexKey(i int) cue.Key { return cue.PartKey("salt", "model", fmt.Sprintf("part-%020d", i)) }
+
+// BenchmarkDirectory is a shard's owner of docs/CAPACITY.md: what a part takes, and an
+// event whose news goes to each zone whose nearest holder it changes.
+func BenchmarkDirectory(b *testing.B) {
+	for _, sites := range []int{0, 5, 13} {
+		b.Run(fmt.Sprintf("sites-%d", sites), func(b *testing.B) {
+			was := heap()
+			d := cue.NewDirectory(1, 1<<30)
+			for i := range sites {
+				d.Box(fmt.Sprint("zone", i))
+			}
+			for n := range 1400 {
+				d.Know(uint64(n+1), cue.Place{Site: fmt.Sprint("zone", n%13)})
+			}
+			ks := make([]cue.Key, indexed)
+			for i := range ks {
+				ks[i] = indexKey(i)
+			}
+			was += float64(len(ks) * 24)
+			for i, k := range ks {
+				d.Apply(cue.News{Key: k, Node: uint64(i%1400 + 1), Op: cue.Load})
+			}
+			each := (heap() - was) / indexed
+			sent := d.Sent()
+			b.ResetTimer()
+			for i := range b.N {
+				j := i % indexed
+				op := cue.Drop
+				if i/indexed%2 == 1 {
+					op = cue.Load
+				}
+				d.Apply(cue.News{Key: ks[j], Node: uint64(j%1400 + 1), Op: op})
+			}
+			b.ReportMetric(each, "B/part")
+			b.ReportMetric(float64(d.Sent()-sent)/float64(b.N), "news/event")
+			runtime.KeepAlive(d)
+		})
+	}
+}
+
+// BenchmarkHolders is the table of fixed entries that proxies have.
+func BenchmarkHolders(b *testing.B) {
+	ks := make([]cue.Key, indexed)
+	for i := range ks {
+		ks[i] = indexKey(i)
+	}
+	was := heap()
+	h := cue.NewHolders(1 << 19)
+	each := (heap() - was) / (1 << 19)
+	b.ResetTimer()
+	for i := range b.N {
+		h.Put(ks[i%indexed], uint64(i%1400+1))
+	}
+	b.ReportMetric(each, "B/entry")
+}
+
+// BenchmarkLookup is a question for a prompt of 64 parts of which half are known.
+func BenchmarkLookup(b *testing.B) {
+	h := cue.NewHolders(1 << 19)
+	ks := make([]cue.Key, indexed)
+	for i := range ks {
+		ks[i] = indexKey(i)
+		if i%2 == 0 {
+			h.Put(ks[i], uint64(i%1400+1))
+		}
+	}
+	var out []uint64
+	b.ResetTimer()
+	for i := range b.N {
+		out = out[:0]
+		for j := range 64 {
+			out = h.Get(ks[(i*64+j)%indexed], out)
+		}
+	}
+}
+
+// BenchmarkSnapshot packs, and BenchmarkTake unpacks, all news of an index as one answer.
+func BenchmarkSnapshot(b *testing.B) {
+	f := snapshot()
+	b.ResetTimer()
+	for range b.N {
+		_ = wire.Encode(f)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/snapshotNews, "ns/news")
+	b.ReportMetric(float64(len(wire.Encode(f)))/snapshotNews, "B/news")
+}
+
+func BenchmarkTake(b *testing.B) {
+	d := wire.Encode(snapshot())[8:]
+	b.ResetTimer()
+	for range b.N {
+		if _, err := wire.Decode(d); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/snapshotNews, "ns/news")
+}
+
+const snapshotNews = 20_000
+
+func snapshot() *fb.FrameT {
+	t := &fb.MapTellT{NewsReset: true}
+	for i := range snapshotNews {
+		k := indexKey(i)
+		t.News = append(t.News, &fb.NewsT{Hi: k.Hi, Lo: k.Lo, Check: k.Check, Node: uint64(i%1400+1) * 0x9e3779b97f4a7c15, Op: 1})
+	}
+	return &fb.FrameT{MapTell: t}
+}
--- /dev/null
+++ b/internal/scale/measure.go
@@ -0,0 +1,313 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"violetthread/internal/clock"
+	"violetthread/internal/crew"
+	"violetthread/internal/link"
+)
+
+// Sample is what one run showed. Figures of a role are a mean over its processes.
+type Sample struct {
+	Label   string             `json:"label"`
+	Role    string             `json:"role"`
+	Size    Size               `json:"size"`
+	Drivers Drivers            `json:"drivers"`
+	Figures map[string]float64 `json:"figures"`
+}
+
+const (
+	startMost  = 40_000_000 // until every proxy must know everything
+	calm       = 1_500_000  // before it measures
+	changeMost = 10_000_000
+)
+
+// Measure runs the hollow part of one run beside real nodes that have been started.
+func Measure(s Settings, log logr.Logger) (*Sample, error) {
+	if len(s.Controls) != len(s.ControlPids) || len(s.Fronts) != len(s.FrontPids) {
+		return nil, trace.BadParameter("give as many --control-pids as --controls, and as many --front-pids as --fronts")
+	}
+	ctx, stop := context.WithTimeout(context.Background(), clock.Micros(startMost+changeMost+s.Seconds*3_000_000))
+	defer stop()
+	c := crew.New(ctx, log)
+	defer c.Stop()
+	b := NewBoard(s.Proxies)
+	es, err := StartEngines(c, s.List, s.Engines, s.Blocks, b)
+	if err != nil {
+		return nil, err
+	}
+	r := &run{s: s, log: log, c: c, board: b, engines: es, version: 1}
+	return r.all(ctx)
+}
+
+type run struct {
+	s       Settings
+	log     logr.Logger
+	c       *crew.Crew
+	board   *Board
+	engines *Engines
+	version int
+}
+
+// until asks again and again, without hurry.
+func until(ctx context.Context, most int64, f func() bool) bool {
+	for end := clock.Now() + most; clock.Now() < end; {
+		if f() {
+			return true
+		}
+		if !crew.Pause(ctx, 20_000) {
+			return false
+		}
+	}
+	return f()
+}
+
+func (r *run) all(ctx context.Context) (*Sample, error) {
+	s := r.s
+	var why error
+	put := func() bool {
+		why = r.change(ctx, 0, http.MethodPut, config(s.Size, r.version))
+		return why == nil || trace.IsBadParameter(why)
+	}
+	if !until(ctx, startMost, put) || why != nil {
+		return nil, trace.ConnectionProblem(why, "the control nodes take no configuration (%v); look at their logs", why)
+	}
+	var nodes []uint64
+	for _, e := range r.engines.all {
+		nodes = append(nodes, e.node())
+	}
+	stagger := s.Stagger
+	if stagger == 0 {
+		stagger = 5_000 + int64(s.Blocks)*2/3
+	}
+	began := clock.Now()
+	for i := range s.Proxies {
+		p := NewProxy(r.c, i, fmt.Sprintf("hollow-%04d", i), fmt.Sprintf("zone-%02d", i%zones), s.Wires, r.board, nodes, s.UnderWay)
+		r.c.Go("proxy", p.Run)
+		crew.Pause(ctx, stagger)
+	}
+	r.c.Go("events", func(ctx context.Context) { r.engines.Run(ctx, s.Events) })
+	whole := until(ctx, startMost, func() bool { return r.board.Ready() == s.Proxies })
+	ready := clock.Now() - began
+	if !whole && s.Role != "limit" {
+		return nil, trace.LimitExceeded("%d of %d hollow proxies know all after %d s; give smaller sizes, or --role limit", r.board.Ready(), s.Proxies, startMost/1_000_000)
+	}
+	crew.Pause(ctx, calm)
+	return r.window(ctx, float64(ready)/1000)
+}
+
+// window is the time that is measured.
+func (r *run) window(ctx context.Context, readyMS float64) (*Sample, error) {
+	s := r.s
+	r.board.clear()
+	a, err := r.looks(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l0, e0, p0, v0 := link.Total(), r.engines.Bytes.Load(), r.engines.Listed.Load(), r.engines.Events.Load()
+	t0 := clock.Now()
+	var ack, known []int64
+	steps := max(1, s.Changes, s.MapChanges)
+	for i := range steps {
+		if s.MapChanges > 0 && i*s.MapChanges/steps != (i+1)*s.MapChanges/steps {
+			r.engines.Toggle(rand.Intn(s.Engines))
+		}
+		if s.Changes > 0 && i*s.Changes/steps != (i+1)*s.Changes/steps {
+			was := r.board.Newest()
+			r.version++
+			from := clock.Now()
+			if err := r.change(ctx, i, http.MethodPatch, patch(r.version)); err != nil {
+				r.version-- // it is sent again as it was, and is the same change if it was taken
+				r.log.Info("change_refused", "cause", err.Error())
+				continue
+			}
+			at := clock.Now()
+			ack = append(ack, at-from)
+			var last int64
+			if until(ctx, changeMost, func() (ok bool) { last, ok = r.board.Since(was); return ok }) {
+				known = append(known, max(0, last-at))
+			}
+		}
+		if d := t0 + s.Seconds*1_000_000*int64(i+1)/int64(steps) - clock.Now(); d > 0 {
+			crew.Pause(ctx, d)
+		}
+	}
+	l1, e1, p1, v1 := link.Total(), r.engines.Bytes.Load(), r.engines.Listed.Load(), r.engines.Events.Load()
+	t1 := clock.Now()
+	z, err := r.looks(ctx)
+	if err != nil {
+		return nil, err
+	}
+	sec := float64(t1-t0) / 1e6
+	f := map[string]float64{}
+	control, front := a[:len(s.Controls)], a[len(s.Controls):]
+	roles(f, "control", control, z[:len(s.Controls)])
+	roles(f, "front", front, z[len(s.Controls):])
+	b := r.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n, k := float64(s.Proxies), float64(len(s.Controls))
+	f["hollow.in_bytes_s"], f["hollow.out_bytes_s"] = float64(l1.BytesIn-l0.BytesIn)/sec/n, float64(l1.BytesOut-l0.BytesOut)/sec/n
+	f["hollow.asks_s"], f["hollow.news_s"] = float64(b.asks)/sec/n, float64(b.news)/sec/n
+	f["hollow.resets_s"], f["hollow.failed_s"] = float64(b.reset)/sec/n, float64(b.bad)/sec/n
+	f["hollow.ready_ms"], f[configSize] = readyMS, float64(b.bytes)
+	for _, ok := range b.ready {
+		if ok {
+			f["hollow.ready"]++
+		}
+	}
+	f["control.peer_in_bytes_s"] = f["control.in_bytes_s"] - f["hollow.out_bytes_s"]*n/k - f["front.out_bytes_s"]*float64(len(s.Fronts))/k
+	f["control.peer_out_bytes_s"] = f["control.out_bytes_s"] - f["hollow.in_bytes_s"]*n/k - f["front.in_bytes_s"]*float64(len(s.Fronts))/k
+	f["control.engines_in_bytes_s"], f["control.list_in_bytes_s"] = float64(e1-e0)/sec/k, float64(p1-p0)/sec/k
+	f["events_s"] = float64(v1-v0) / sec
+	if len(ack) > 0 {
+		f["change.ack_ms"], f["change.ack_worst_ms"] = float64(quantile(ack, .5))/1000, float64(quantile(ack, 1))/1000
+	}
+	if len(known) > 0 {
+		f["change.known_ms"], f["change.known_worst_ms"] = float64(quantile(known, .5))/1000, float64(quantile(known, 1))/1000
+	}
+	f["change.unknown"] = float64(len(ack) - len(known))
+	if len(b.lags) > 0 {
+		f["news.lag_ms"], f["news.lag_p99_ms"] = float64(quantile(b.lags, .5))/1000, float64(quantile(b.lags, .99))/1000
+	}
+	f["news.timed"] = float64(len(b.lags))
+	d := s.Size.Drivers(len(s.Fronts), len(s.Controls), float64(b.bytes))
+	d.Events = f["events_s"]
+	return &Sample{Label: s.Label, Role: s.Role, Size: s.Size, Drivers: d, Figures: f}, nil
+}
+
+// looks measures every real node. In a run beyond the limits one that does not answer
+// is measured from outside alone.
+func (r *run) looks(ctx context.Context) (out []vitals, err error) {
+	for i, a := range slices.Concat(r.s.Controls, r.s.Fronts) {
+		v, err := look(ctx, slices.Concat(r.s.ControlPids, r.s.FrontPids)[i], a)
+		if err != nil && (r.s.Role != "limit" || v.cpu == 0) {
+			return nil, err
+		}
+		if err != nil {
+			r.log.Info("node_silent", "node", a, "cause", err.Error())
+		}
+		out = append(out, v)
+	}
+	return out, nil
+}
+
+// roles puts a role's means into f.
+func roles(f map[string]float64, role string, a, z []vitals) {
+	if len(a) == 0 {
+		return
+	}
+	n := float64(len(a))
+	for i := range a {
+		sec := float64(z[i].at-a[i].at) / 1e6
+		f[role+".cpu_us_s"] += float64(z[i].cpu-a[i].cpu) / 1000 / sec / n
+		f[role+".rss_mb"] += z[i].rss / n
+		f[role+".peak_mb"] += z[i].peak / n
+		f[role+".in_bytes_s"] += (z[i].inBytes - a[i].inBytes) / sec / n
+		f[role+".out_bytes_s"] += (z[i].outBytes - a[i].outBytes) / sec / n
+		f[role+".in_frames_s"] += (z[i].inFrames - a[i].inFrames) / sec / n
+		f[role+".out_frames_s"] += (z[i].outFrms - a[i].outFrms) / sec / n
+	}
+}
+
+// change sends an operator's change to one control node.
+func (r *run) change(ctx context.Context, i int, method string, body []byte) error {
+	ctx, stop := context.WithTimeout(ctx, clock.Micros(3_000_000))
+	defer stop()
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+r.s.Controls[i%len(r.s.Controls)]+"/configuration", bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	q.Header.Set("If-Match", strconv.Itoa(r.version-1))
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return trace.ConnectionProblem(err, "a control node does not answer")
+	}
+	defer a.Body.Close()
+	t, _ := io.ReadAll(io.LimitReader(a.Body, 4096))
+	switch {
+	case a.StatusCode >= 500:
+		return trace.ConnectionProblem(nil, "the change was answered %d %s", a.StatusCode, t)
+	case a.StatusCode != http.StatusOK:
+		return trace.BadParameter("the change was answered %d %s", a.StatusCode, t)
+	}
+	return nil
+}
+
+func tenant(i int) map[string]any {
+	r := rand.New(rand.NewSource(int64(i)))
+	return map[string]any{"name": fmt.Sprintf("tenant-%05d", i), "api-keys": []string{fmt.Sprintf("%016x%016x", r.Uint64(), r.Uint64())}, "priority": i % 3, "isolated": i%7 == 0}
+}
+
+// config is a whole configuration of a size.
+func config(s Size, version int) []byte {
+	var rs, ss, ts []any
+	for i := range models {
+		ss = append(ss, map[string]any{"name": fmt.Sprintf("service-%02d", i), "max-connections": 64, "engine-address": map[string]any{
+			"capacity": 32, "cache-capacity-tokens": 400_000, "token-size-bytes": 18432, "bandwidth-mbps": 100000, "max-concurrency": 8,
+			"models": []any{map[string]any{"name": fmt.Sprintf("model-%02d", i)}}}})
+	}
+	for i := range max(1, s.Tenants/10) {
+		rs = append(rs, map[string]any{"name": fmt.Sprintf("route-%04d", i), "host": fmt.Sprintf("h%04d.example", i), "path-prefix": fmt.Sprintf("/v1/%04d/", i),
+			"route-type": "streaming", "timeout-ms": 60000, "target-latency-ms": 450, "target-gap-ms": 35, "priority": 1,
+			"service": fmt.Sprintf("service-%02d", i%models), "max-attempts": 2, "session-affinity": true, "resumable": true})
+	}
+	for i := range s.Tenants {
+		ts = append(ts, tenant(i))
+	}
+	b, _ := json.Marshal(map[string]any{"version": version, "routes": rs, "services": ss, "tenants": ts}) // maps of plain values
+	return b
+}
+
+// patch changes one tenant's key, as most changes do.
+func patch(version int) []byte {
+	t := tenant(1_000_000 + version)
+	t["name"] = "tenant-00000"
+	b, _ := json.Marshal(map[string]any{"version": version, "upsert": map[string]any{"tenants": []any{t}}})
+	return b
+}
+
+// Append adds a sample to a file of one JSON object a line.
+func (s *Sample) Append(path string) error {
+	b, err := json.Marshal(s)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return trace.Wrap(err, "can't write %s; give --out a file in a folder that is there", path)
+	}
+	defer f.Close()
+	_, err = f.Write(append(b, '\n'))
+	return trace.Wrap(err)
+}
+
+// Samples reads such a file.
+func Samples(path string) (out []*Sample, err error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.BadParameter("%v; run scripts/scale first", err)
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	for d.More() {
+		s := &Sample{}
+		if err := d.Decode(s); err != nil {
+			return nil, trace.BadParameter("%s holds what is no sample: %v; run scripts/scale anew", path, err)
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/scale/proxies.go
@@ -0,0 +1,189 @@
+package scale
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand"
+	"slices"
+	"sort"
+
+	"github.com/samber/lo"
+
+	"violetthread/cue"
+	"violetthread/internal/clock"
+	"violetthread/internal/crew"
+	"violetthread/internal/link"
+	"violetthread/schema/fb"
+)
+
+// Proxy is a hollow proxy: it follows control nodes as a carrier does (its follow.go;
+// TestHollowAsksAsARealOne holds the two together), and keeps nothing but its place.
+type Proxy struct {
+	num        int
+	name, site string
+	inc        uint64
+	seeds      []string
+	book       *link.Book
+	board      *Board
+	fars       map[string]*far
+	cur        string
+	known      bool
+	ask        fb.MapAskT // what it knows, as it says in its next question
+	nodes      []uint64   // engines that its requests lie at, one for each
+}
+
+type far struct {
+	site  string
+	badAt int64
+}
+
+const (
+	followHold    = 250_000
+	followPatient = 450_000
+	staleWord     = 1_000_000
+	unusedFor     = 1_500_000
+	afterBad      = 30_000
+)
+
+// NewProxy makes hollow proxy num with under requests under way at engines nodes.
+func NewProxy(c *crew.Crew, num int, name, site string, seeds []string, b *Board, nodes []uint64, under int) *Proxy {
+	p := &Proxy{num: num, name: name, site: site, inc: rand.Uint64()>>24 | 1, seeds: seeds, book: link.NewBook(c), board: b, fars: map[string]*far{}}
+	for range under {
+		p.nodes = append(p.nodes, nodes[rand.Intn(len(nodes))])
+	}
+	for _, a := range seeds {
+		p.fars[a] = &far{}
+	}
+	return p
+}
+
+// Run follows until ctx ends.
+func (p *Proxy) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !p.once(ctx) && !crew.Pause(ctx, afterBad) {
+			return
+		}
+	}
+}
+
+// loads tells what it has under way; now and then a request ends and another begins.
+func (p *Proxy) loads() (out []*fb.LoadT) {
+	sum := map[uint64]uint32{}
+	for _, n := range p.nodes {
+		sum[n]++
+	}
+	for n, k := range sum {
+		out = append(out, &fb.LoadT{Node: n, Active: k, Reading: 700 * k, Tokens: 1200 * k})
+	}
+	return out
+}
+
+func (p *Proxy) order(now int64) []string {
+	l := lo.Keys(p.fars)
+	rank := func(a string) (n int) {
+		x := p.fars[a]
+		if x.badAt > 0 && now-x.badAt < unusedFor {
+			n += 4
+		}
+		switch x.site {
+		case p.site:
+		case "":
+			n++
+		default:
+			n += 2
+		}
+		if a == p.cur {
+			n--
+		}
+		return n
+	}
+	sort.Slice(l, func(i, j int) bool {
+		if a, b := rank(l[i]), rank(l[j]); a != b {
+			return a < b
+		}
+		return score(p.name, l[i]) < score(p.name, l[j])
+	})
+	return l
+}
+
+func score(a, b string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(a + "|" + b))
+	x := h.Sum64()
+	return (x ^ x>>29) * 0xff51afd7ed558ccd
+}
+
+func (p *Proxy) once(ctx context.Context) bool {
+	now := clock.Now()
+	l := p.order(now)
+	if len(l) == 0 {
+		return false
+	}
+	a := l[0]
+	x := p.fars[a]
+	q := p.ask
+	q.Node = &fb.NodeT{Name: p.name, Role: "carrier", Site: p.site, Http: "127.0.0.1:1", Inc: p.inc, Ready: p.known}
+	q.Hold, q.Loads = followHold, p.loads()
+	if !p.known || x.site == "" {
+		q.Hold = 0
+	}
+	r, err := p.book.At(a).Call(ctx, &fb.FrameT{MapAsk: &q}, q.Hold+followPatient)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil || r.MapTell == nil {
+		x.badAt = clock.Now()
+		if p.cur == a {
+			p.cur = ""
+		}
+		p.board.failed()
+		return len(l) > 1
+	}
+	t := r.MapTell
+	x.site, x.badAt, p.cur = t.Site, 0, a
+	p.take(t)
+	if t.Known && t.Age > staleWord {
+		x.badAt = clock.Now()
+	}
+	p.learn(t.Voters)
+	return t.Known
+}
+
+func (p *Proxy) learn(voters []string) {
+	if len(voters) == 0 {
+		return
+	}
+	for _, v := range voters {
+		if p.fars[v] == nil {
+			p.fars[v] = &far{}
+		}
+	}
+	for a := range p.fars {
+		if !slices.Contains(voters, a) && !slices.Contains(p.seeds, a) {
+			delete(p.fars, a)
+		}
+	}
+}
+
+func (p *Proxy) take(t *fb.MapTellT) {
+	k := &p.ask
+	if t.Inc != k.Inc {
+		k.Inc, k.Map = t.Inc, 0
+	}
+	h := heard{proxy: p.num, now: clock.Now(), complete: t.Complete, reset: t.NewsReset}
+	if t.Known && t.Rev > k.Have && len(t.Config) > 0 {
+		k.Have, p.known = t.Rev, true
+		h.config = len(t.Config)
+	}
+	h.rev = k.Have
+	if t.Whole {
+		k.Map = t.Map
+	}
+	k.NewsInc, k.NewsSince = t.NewsInc, t.NewsNext
+	if !t.NewsReset {
+		for _, n := range t.News {
+			h.news = append(h.news, cue.News{Key: cue.Key{Hi: n.Hi, Lo: n.Lo, Check: n.Check}, Node: n.Node, Op: cue.Op(n.Op)})
+		}
+	}
+	p.board.hear(h)
+}
