--- a/floor/agent.go
+++ b/agent/agent.go
@@ -1,7 +1,7 @@
-// Package floor is the deciding part of the agent beside a proxy: it gathers
+// Package agent is the deciding part of the agent beside a proxy: it gathers
 // orders and hint news from every index node and hands them on with their ages
 // (design §3). It is pure.
-package floor
+package agent
 
 import (
 	"sort"
--- a/blotter/ledger.go
+++ b/attempt/ledger.go
@@ -1,6 +1,6 @@
-// Package blotter derives a ticket's next move from the ledger of its attempts
+// Package attempt derives a ticket's next move from the ledger of its attempts
 // (design §6). It is pure; the state table in the design page is this file.
-package blotter
+package attempt
 
 // State is how far an attempt is known to have come.
 type State uint8
--- a/blotter/passage.go
+++ b/attempt/passage.go
@@ -1,4 +1,4 @@
-package blotter
+package attempt
 
 // A passage is the ledger of a request that is passed through unopened (design §14).
 // Its attempts are the Attempts of a ticket; what differs is who may have run twice:
--- a/blotter/passage_test.go
+++ b/attempt/passage_test.go
@@ -1,4 +1,4 @@
-package blotter
+package attempt
 
 import (
 	"fmt"
--- a/cmd/compliance/main.go
+++ b/cmd/compliance/main.go
@@ -14,7 +14,7 @@
 	"github.com/integrii/flaggy"
 
 	"violetthread/compliance"
-	"violetthread/internal/app/registrar"
+	"violetthread/internal/app/control"
 	"violetthread/internal/base"
 	"violetthread/internal/engineapi"
 	"violetthread/plan"
@@ -120,7 +120,7 @@
 
 func (g gatherer) fleet(p *plan.Plan) (f compliance.Fleet, err error) {
 	f.Up, f.BackEnds = map[string]bool{}, map[string]bool{}
-	var fl registrar.Fleet
+	var fl control.Fleet
 	if err := g.ask("/v1/fleet", &fl); err != nil {
 		return f, err
 	}
--- a/cmd/custodian/main.go
+++ b/cmd/custodian/main.go
@@ -4,16 +4,16 @@
 import (
 	"os"
 
-	"violetthread/internal/app/custodian"
+	"violetthread/internal/app/indexnode"
 	"violetthread/internal/base"
 )
 
 func main() {
-	s := custodian.Defaults()
+	s := indexnode.Defaults()
 	if err := base.Load("custodian", "An index node of violetthread: owns shards of the hint index and engines.", &s, os.Args[1:]); err != nil {
 		base.Exit("custodian", err)
 	}
-	if err := custodian.Run(s); err != nil {
+	if err := indexnode.Run(s); err != nil {
 		base.Exit("custodian", err)
 	}
 }
--- a/cmd/dealer/views.go
+++ b/cmd/dealer/views.go
@@ -14,8 +14,8 @@
 
 	"github.com/gravitational/trace"
 
-	"violetthread/custody"
-	"violetthread/internal/app/registrar"
+	"violetthread/index"
+	"violetthread/internal/app/control"
 	"violetthread/tape"
 )
 
@@ -23,7 +23,7 @@
 type row map[string]any
 
 // fleet asks a registrar for the members.
-func (t *tool) fleet() (f registrar.Fleet, err error) {
+func (t *tool) fleet() (f control.Fleet, err error) {
 	r, b, err := t.do(http.MethodGet, "/v1/fleet", nil)
 	if err != nil {
 		return f, err
@@ -56,7 +56,7 @@
 			continue
 		}
 		b, err := t.ask(n.HTTP, "/v1/engines")
-		var es []custody.Engine
+		var es []index.Engine
 		if err == nil {
 			err = json.Unmarshal(b, &es)
 		}
@@ -84,10 +84,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	for i := 0; i < custody.Shards; i++ {
+	for i := 0; i < index.Shards; i++ {
 		r := row{"shard": i, "owner": "nobody"}
 		for _, n := range f.Nodes {
-			if slices.Contains(n.Duties, custody.ShardDuty(i)) {
+			if slices.Contains(n.Duties, index.ShardDuty(i)) {
 				r["owner"], r["site"] = n.Name, n.Site
 			}
 		}
--- a/cmd/registrar/main.go
+++ b/cmd/registrar/main.go
@@ -4,16 +4,16 @@
 import (
 	"os"
 
-	"violetthread/internal/app/registrar"
+	"violetthread/internal/app/control"
 	"violetthread/internal/base"
 )
 
 func main() {
-	s := registrar.Defaults()
+	s := control.Defaults()
 	if err := base.Load("registrar", "A control node of violetthread: keeps plans, claims and leases on a majority of disks.", &s, os.Args[1:]); err != nil {
 		base.Exit("registrar", err)
 	}
-	if err := registrar.Run(s); err != nil {
+	if err := control.Run(s); err != nil {
 		base.Exit("registrar", err)
 	}
 }
--- a/cmd/runner/main.go
+++ b/cmd/runner/main.go
@@ -4,16 +4,16 @@
 import (
 	"os"
 
-	"violetthread/internal/app/runner"
+	"violetthread/internal/app/agent"
 	"violetthread/internal/base"
 )
 
 func main() {
-	s := runner.Defaults()
+	s := agent.Defaults()
 	if err := base.Load("runner", "The agent beside a remisier: keeps its link to the core.", &s, os.Args[1:]); err != nil {
 		base.Exit("runner", err)
 	}
-	if err := runner.Run(s); err != nil {
+	if err := agent.Run(s); err != nil {
 		base.Exit("runner", err)
 	}
 }
--- a/desk/assign.go
+++ b/dispatch/assign.go
@@ -1,9 +1,9 @@
-package desk
+package dispatch
 
 import (
 	"strconv"
 
-	"violetthread/cue"
+	"violetthread/hint"
 )
 
 // pump gives free room to waiting tickets, group by group.
@@ -112,7 +112,7 @@
 			continue
 		}
 		g, ok := l.Grades[h.Node]
-		if ok && !cue.Usable(g) {
+		if ok && !hint.Usable(g) {
 			continue
 		}
 		return h.Part, h.Node, p.Addr
--- a/desk/desk.go
+++ b/dispatch/desk.go
@@ -1,15 +1,15 @@
-// Package desk is a proxy's deciding part: tickets, claims, orders and the news
+// Package dispatch is a proxy's deciding part: tickets, claims, orders and the news
 // of attempts go in; claims, dispatches and frames come out. It is pure, so the
 // daemon, the simulator and a replay run the same code (design §6).
-package desk
+package dispatch
 
 import (
 	"slices"
 	"strconv"
 
-	"violetthread/blotter"
-	"violetthread/clearing"
-	"violetthread/cue"
+	"violetthread/attempt"
+	"violetthread/fairqueue"
+	"violetthread/hint"
 	"violetthread/plan"
 )
 
@@ -52,7 +52,7 @@
 	Weights string
 	Kind    string
 	Prompt  string
-	Chain   []cue.Key
+	Chain   []hint.Key
 	Take    int // part to take from Peer, -1 for none
 	Peer    uint64
 	PeerAt  string
@@ -60,7 +60,7 @@
 	Due     int64
 	Until   int64 // past it, the dispatch must not begin any more
 	// DoEnd
-	Outcome blotter.Outcome
+	Outcome attempt.Outcome
 	Reason  string
 	Back    int64 // when to come back, for what was refused
 }
@@ -75,8 +75,8 @@
 	lanes   map[string]*lane
 	byNode  map[uint64]*lane
 	tickets map[uint64]*work
-	q       *clearing.Queue
-	budget  blotter.Budget
+	q       *fairqueue.Queue
+	budget  attempt.Budget
 	typical map[string]int64
 	seq     uint64
 	Counts  Counts
@@ -94,7 +94,7 @@
 // New makes a desk.
 func New(name, site string, inc uint64) *Desk {
 	return &Desk{name: name, site: site, inc: inc, lanes: map[string]*lane{}, byNode: map[uint64]*lane{},
-		tickets: map[uint64]*work{}, q: clearing.NewQueue(), typical: map[string]int64{}, seen: map[string]*Seen{}}
+		tickets: map[uint64]*work{}, q: fairqueue.NewQueue(), typical: map[string]int64{}, seen: map[string]*Seen{}}
 }
 
 // Plan takes in a plan that was known to be in force at time at.
@@ -198,7 +198,7 @@
 		}
 		switch {
 		case w.led.Ended:
-			if w.led.Claim == blotter.Asked && now-w.askAt > 30_000_000 {
+			if w.led.Claim == attempt.Asked && now-w.askAt > 30_000_000 {
 				delete(d.tickets, w.Ref)
 			}
 			continue
@@ -209,10 +209,10 @@
 		case w.queued && hopeless[ref]:
 			// Given up: answered now, not when its due is near (design §8).
 			acts = append(acts, d.Stop(now, w.Ref, "due-unreachable")...)
-		case w.led.Claim == blotter.Asked && now-w.askAt > claimWait:
+		case w.led.Claim == attempt.Asked && now-w.askAt > claimWait:
 			// The claim may yet be granted; this ticket will not use it, and it
 			// stays taken, which errs on the safe side.
-			w.led.Claim = blotter.Doubtful
+			w.led.Claim = attempt.Doubtful
 			acts = append(acts, d.move(now, w)...)
 		case w.queued:
 			acts = append(acts, d.move(now, w)...)
--- a/desk/orders.go
+++ b/dispatch/orders.go
@@ -1,8 +1,8 @@
-package desk
+package dispatch
 
 import (
-	"violetthread/blotter"
-	"violetthread/cue"
+	"violetthread/attempt"
+	"violetthread/hint"
 )
 
 // Order is an engine as its owner lets this proxy use it.
@@ -29,7 +29,7 @@
 	Attempt, Engine string
 	Peer            uint64
 	Total           int // parts of the whole prompt
-	Parts           []cue.Key
+	Parts           []hint.Key
 }
 
 // Seen is how an engine's attempts went since last told.
@@ -114,16 +114,16 @@
 	return 500_000
 }
 
-func (d *Desk) learn(now int64, l *lane, w *work, s blotter.State, cause string) {
+func (d *Desk) learn(now int64, l *lane, w *work, s attempt.State, cause string) {
 	e := d.seen[l.Engine]
 	if e == nil {
 		e = &Seen{}
 		d.seen[l.Engine] = e
 	}
 	switch s {
-	case blotter.Began:
+	case attempt.Began:
 		e.FirstUS = now - w.began
-	case blotter.Finished:
+	case attempt.Finished:
 		l.problem = 0
 		e.Dones++
 	default:
--- a/desk/ticket.go
+++ b/dispatch/ticket.go
@@ -1,12 +1,12 @@
-package desk
+package dispatch
 
 import (
 	"strconv"
 
-	"violetthread/blotter"
-	"violetthread/clearing"
-	"violetthread/cue"
-	"violetthread/settle"
+	"violetthread/attempt"
+	"violetthread/fairqueue"
+	"violetthread/hint"
+	"violetthread/quorum"
 )
 
 // Ticket is a call that passed the checks at the door.
@@ -20,15 +20,15 @@
 	Digest  string // of the key it came with
 	Due     int64  // time since boot
 	Prompt  string
-	Chain   []cue.Key // under the plan's weights and the group's domain
-	Hints   []cue.Hint
+	Chain   []hint.Key // under the plan's weights and the group's domain
+	Hints   []hint.Hint
 	Weights string
 	Domain  string
 }
 
 type work struct {
 	Ticket
-	led    blotter.Ledger
+	led    attempt.Ledger
 	nonce  string
 	lane   *lane
 	queued bool
@@ -44,7 +44,7 @@
 func (w *work) claim() string { return ClaimKey(w.Era, w.Group, w.ID) }
 
 // ClaimKey names a once-only ticket of an era in the control state.
-func ClaimKey(era uint64, group, id string) string { return settle.ClaimKey(era, group+"/"+id) }
+func ClaimKey(era uint64, group, id string) string { return quorum.ClaimKey(era, group+"/"+id) }
 
 // barred tells why a ticket may not go on under the plan in force.
 func (d *Desk) barred(w *work) string {
@@ -69,7 +69,7 @@
 func (d *Desk) once(w *work) {
 	w.led.Once = true
 	if !w.Own {
-		w.led.Claim = blotter.Needless
+		w.led.Claim = attempt.Needless
 	}
 }
 
@@ -81,7 +81,7 @@
 		return ""
 	}
 	a, live := w.led.Live()
-	if live && a.State == blotter.Sent {
+	if live && a.State == attempt.Sent {
 		return "wall-changed"
 	}
 	w.Domain, w.Hints, w.moved = d.plan.Domain(w.Group, w.Weights), nil, true
@@ -128,7 +128,7 @@
 }
 
 func (d *Desk) line(w *work) {
-	d.q.Push(w.Group, clearing.Item{ID: strconv.FormatUint(w.Ref, 10), Due: w.Due, Cost: w.cost})
+	d.q.Push(w.Group, fairqueue.Item{ID: strconv.FormatUint(w.Ref, 10), Due: w.Due, Cost: w.cost})
 	w.queued = true
 }
 
@@ -139,12 +139,12 @@
 	}
 }
 
-func (d *Desk) facts(now int64, w *work) blotter.Facts {
+func (d *Desk) facts(now int64, w *work) attempt.Facts {
 	need := int64(1000)
 	if w.queued {
 		need = w.cost
 	}
-	return blotter.Facts{Time: now+need < w.Due, Budget: d.budget.Has()}
+	return attempt.Facts{Time: now+need < w.Due, Budget: d.budget.Has()}
 }
 
 // move carries out what the ledger says comes next.
@@ -156,22 +156,22 @@
 	}
 	m := w.led.Next(d.facts(now, w))
 	switch m.Do {
-	case blotter.Ask:
+	case attempt.Ask:
 		if w.lane == nil {
 			return nil // still waiting its turn
 		}
-		w.led.Claim, w.askAt = blotter.Asked, now
+		w.led.Claim, w.askAt = attempt.Asked, now
 		d.Counts.Claims++
 		return []Act{{Do: DoClaim, Ref: w.Ref, Group: w.Group, ID: w.ID, Nonce: w.nonce, Claim: w.claim()}}
-	case blotter.Assign:
+	case attempt.Assign:
 		return d.assign(now, w, m)
-	case blotter.End:
+	case attempt.End:
 		return d.end(now, w, m)
 	}
 	return nil
 }
 
-func (d *Desk) assign(now int64, w *work, m blotter.Move) []Act {
+func (d *Desk) assign(now int64, w *work, m attempt.Move) []Act {
 	if w.lane == nil {
 		if w.queued {
 			return nil
@@ -209,13 +209,13 @@
 	w.tried[l.Engine] = true
 	w.began = now
 	a := w.nonce + "." + strconv.Itoa(len(w.led.Attempts))
-	w.led.Attempts = append(w.led.Attempts, blotter.Attempt{ID: a, Engine: l.Engine, State: blotter.Sent})
+	w.led.Attempts = append(w.led.Attempts, attempt.Attempt{ID: a, Engine: l.Engine, State: attempt.Sent})
 	act := Act{Do: DoStart, Ref: w.Ref, Group: w.Group, ID: w.ID, Attempt: a, Order: l.Order, Domain: w.Domain,
 		Weights: l.Weights, Kind: w.Kind, Prompt: w.Prompt, Chain: w.Chain, Take: -1, Due: w.Due, WaitUS: d.plan.Limits.TakeWaitUS,
 		Until: min(l.at+OrderLimit, d.planAt+PlanLimit, w.Due)}
 	if l.Weights != w.Weights || w.moved {
 		act.Domain = d.plan.Domain(w.Group, l.Weights)
-		act.Chain = cue.Chain(act.Domain, l.Weights, w.Prompt)
+		act.Chain = hint.Chain(act.Domain, l.Weights, w.Prompt)
 		return []Act{act}
 	}
 	own := d.own(l, w)
@@ -238,7 +238,7 @@
 	}
 }
 
-func (d *Desk) end(now int64, w *work, m blotter.Move) []Act {
+func (d *Desk) end(now int64, w *work, m attempt.Move) []Act {
 	w.led.Ended = true
 	var acts []Act
 	if m.Cancel != "" {
@@ -248,15 +248,15 @@
 		acts = append(acts, Act{Do: DoRelease, Ref: w.Ref, Group: w.Group, ID: w.ID, Nonce: w.nonce, Claim: w.claim()})
 	}
 	switch m.Outcome {
-	case blotter.Done:
+	case attempt.Done:
 		d.Counts.Done++
-	case blotter.Refused:
+	case attempt.Refused:
 		d.Counts.Refused++
 	default:
 		d.Counts.Unknown++
 	}
 	end := Act{Do: DoEnd, Ref: w.Ref, ID: w.ID, Outcome: m.Outcome, Reason: m.Reason}
-	if m.Outcome == blotter.Refused {
+	if m.Outcome == attempt.Refused {
 		end.Back = max(100_000, d.q.Ahead(w.Group, w.Due, max(1, d.Room(now))))
 	}
 	acts = append(acts, end)
@@ -266,22 +266,22 @@
 		d.q.Release(w.Group)
 		w.taken = false
 	}
-	if w.led.Claim != blotter.Asked {
+	if w.led.Claim != attempt.Asked {
 		delete(d.tickets, w.Ref)
 	}
 	return append(acts, d.pump(now)...)
 }
 
 // Claimed takes in the answer to a claim.
-func (d *Desk) Claimed(now int64, ref uint64, c blotter.Claim) []Act {
+func (d *Desk) Claimed(now int64, ref uint64, c attempt.Claim) []Act {
 	w := d.tickets[ref]
-	if w == nil || w.led.Claim != blotter.Asked {
+	if w == nil || w.led.Claim != attempt.Asked {
 		return nil
 	}
 	w.led.Claim = c
 	if w.led.Ended {
 		delete(d.tickets, ref)
-		if c == blotter.Held {
+		if c == attempt.Held {
 			return []Act{{Do: DoRelease, Ref: ref, Group: w.Group, ID: w.ID, Nonce: w.nonce, Claim: w.claim()}}
 		}
 		return nil
@@ -290,20 +290,20 @@
 }
 
 // Note takes in how far an attempt has come.
-func (d *Desk) Note(now int64, ref uint64, attempt string, s blotter.State, cause string) []Act {
+func (d *Desk) Note(now int64, ref uint64, id string, s attempt.State, cause string) []Act {
 	w := d.tickets[ref]
-	if w == nil || !w.led.Note(attempt, s, cause) {
+	if w == nil || !w.led.Note(id, s, cause) {
 		return nil
 	}
 	l := w.lane
 	if l != nil {
 		d.learn(now, l, w, s, cause)
 	}
-	if s == blotter.Began {
+	if s == attempt.Began {
 		return nil
 	}
 	d.leave(w)
-	if s == blotter.Finished {
+	if s == attempt.Finished {
 		t := now - w.began
 		if o := d.typical[w.Kind]; o > 0 {
 			t = o + (t-o)/8
--- a/clearing/example_test.go
+++ b/fairqueue/example_test.go
@@ -1,15 +1,15 @@
-package clearing_test
+package fairqueue_test
 
 import (
 	"fmt"
 
-	"violetthread/clearing"
+	"violetthread/fairqueue"
 )
 
 // An engine's owner splits its room between two proxies: the desk's group has
 // three times the share of the group that floods the other proxy.
 func ExampleSplit() {
-	s := clearing.Split(10, map[string]float64{"desk": 3, "batch": 1}, 1, []clearing.Demand{
+	s := fairqueue.Split(10, map[string]float64{"desk": 3, "batch": 1}, 1, []fairqueue.Demand{
 		{Proxy: "p1", Want: map[string]float64{"desk": 6}}, {Proxy: "p2", Want: map[string]float64{"batch": 90}}}, 0)
 	fmt.Println(s["p1"], s["p2"])
 	// Output: 6 4
--- a/clearing/queue.go
+++ b/fairqueue/queue.go
@@ -1,6 +1,6 @@
-// Package clearing shares room: between groups at a proxy, and between proxies
+// Package fairqueue shares room: between groups at a proxy, and between proxies
 // at an engine's owner (design §8). It is pure.
-package clearing
+package fairqueue
 
 import "sort"
 
--- a/clearing/split.go
+++ b/fairqueue/split.go
@@ -1,4 +1,4 @@
-package clearing
+package fairqueue
 
 import (
 	"math"
--- a/cue/cue_test.go
+++ b/hint/cue_test.go
@@ -1,4 +1,4 @@
-package cue
+package hint
 
 import (
 	"fmt"
--- a/cue/key.go
+++ b/hint/key.go
@@ -1,8 +1,8 @@
-// Package cue is the fleet's index of kept prompts: in every proxy and index
+// Package hint is the fleet's index of kept prompts: in every proxy and index
 // node a table of fixed entries that names, for a part of a prompt, the nearest
 // engine or store known to keep it (design §7; docs/paper.md says what comes
 // from the paper and what changed).
-package cue
+package hint
 
 import (
 	"crypto/sha256"
--- a/custody/duties.go
+++ b/index/duties.go
@@ -1,4 +1,4 @@
-package custody
+package index
 
 import (
 	"hash/fnv"
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"violetthread/cue"
+	"violetthread/hint"
 )
 
 type duty struct {
@@ -182,7 +182,7 @@
 	}
 	if s, ok := strings.CutPrefix(n, "duty/shard/"); ok {
 		i, _ := strconv.Atoi(s)
-		k.dir.ForgetKeys(func(c cue.Key) bool { return c.Shard(Shards) != i })
+		k.dir.ForgetKeys(func(c hint.Key) bool { return c.Shard(Shards) != i })
 	}
 }
 
--- a/custody/keeper.go
+++ b/index/keeper.go
@@ -1,13 +1,13 @@
-// Package custody is an index node's deciding part: which duties to hold, what
+// Package index is an index node's deciding part: which duties to hold, what
 // each proxy may send each engine it owns, which engines must change weights,
 // and what the fleet learns of kept parts. It is pure (design §7, §8, §10).
-package custody
+package index
 
 import (
 	"slices"
 	"strings"
 
-	"violetthread/cue"
+	"violetthread/hint"
 	"violetthread/plan"
 )
 
@@ -55,7 +55,7 @@
 	duties     map[string]*duty
 	engines    map[string]*engine
 	proxies    map[string]*proxy
-	dir        *cue.Directory
+	dir        *hint.Directory
 	holds      map[string]*follower // feeds of what my engines hold, by asker
 	source     map[uint64]string    // holder -> custodian that told of it
 	placed     map[uint64]Place     // every holder that was told of
@@ -73,7 +73,7 @@
 // New makes a keeper.
 func New(name, site string, inc uint64) *Keeper {
 	return &Keeper{name: name, site: site, inc: inc, listing: map[string]Listed{}, duties: map[string]*duty{},
-		engines: map[string]*engine{}, proxies: map[string]*proxy{}, dir: cue.NewDirectory(inc, 1<<20),
+		engines: map[string]*engine{}, proxies: map[string]*proxy{}, dir: hint.NewDirectory(inc, 1<<20),
 		holds: map[string]*follower{}, source: map[uint64]string{}, cursors: map[string]Cursor{}, placed: map[uint64]Place{}}
 }
 
@@ -140,4 +140,4 @@
 }
 
 // Directory is the index of the shards held here, for vitals.
-func (k *Keeper) Directory() *cue.Directory { return k.dir }
+func (k *Keeper) Directory() *hint.Directory { return k.dir }
--- a/custody/news.go
+++ b/index/news.go
@@ -1,4 +1,4 @@
-package custody
+package index
 
 import (
 	"slices"
@@ -6,17 +6,17 @@
 	"strconv"
 	"strings"
 
-	"violetthread/cue"
+	"violetthread/hint"
 )
 
 type follower struct {
 	shards []uint16
-	box    *cue.Outbox
+	box    *hint.Outbox
 }
 
 type site struct {
-	table *cue.Table
-	box   *cue.Outbox
+	table *hint.Table
+	box   *hint.Outbox
 	from  map[string]*Cursor
 }
 
@@ -24,17 +24,17 @@
 type Cursor struct{ Inc, Next uint64 }
 
 // HoldsFeed answers a shard's owner that follows what engines owned here keep.
-func (k *Keeper) HoldsFeed(from string, shards []uint16, inc, since uint64) (cue.Batch, []Place) {
+func (k *Keeper) HoldsFeed(from string, shards []uint16, inc, since uint64) (hint.Batch, []Place) {
 	f := k.holds[from]
 	if f == nil || !slices.Equal(f.shards, shards) {
 		k.turn++
 		f = &follower{shards: slices.Clone(shards)}
-		f.box = cue.NewOutbox(k.inc+uint64(k.turn)<<40, 1<<14, func() []cue.News {
-			var ns []cue.News
+		f.box = hint.NewOutbox(k.inc+uint64(k.turn)<<40, 1<<14, func() []hint.News {
+			var ns []hint.News
 			for _, e := range k.engines {
 				for p := range e.keeps {
 					if slices.Contains(shards, uint16(p.Shard(Shards))) {
-						ns = append(ns, cue.News{Key: p, Node: e.id, Op: cue.Load})
+						ns = append(ns, hint.News{Key: p, Node: e.id, Op: hint.Load})
 					}
 				}
 			}
@@ -80,9 +80,9 @@
 func (k *Keeper) NewsSent() uint64 { return k.Counts.NewsOut + k.dir.Sent() }
 
 // HoldsNews takes in what another custodian's engines keep of my shards.
-func (k *Keeper) HoldsNews(now int64, from string, b cue.Batch, ps []Place) {
+func (k *Keeper) HoldsNews(now int64, from string, b hint.Batch, ps []Place) {
 	for _, p := range ps {
-		k.dir.Know(p.ID, cue.Place{Site: p.Site, Store: p.Store})
+		k.dir.Know(p.ID, hint.Place{Site: p.Site, Store: p.Store})
 		k.source[p.ID] = from
 		for id, o := range k.placed {
 			if o.Engine == p.Engine && id != p.ID {
@@ -96,12 +96,12 @@
 		for _, p := range ps {
 			told[p.ID] = true
 		}
-		fresh := map[cue.News]bool{}
+		fresh := map[hint.News]bool{}
 		for _, n := range b.News {
 			fresh[n] = true
 		}
-		k.dir.ForgetIf(func(c cue.Key, id uint64) bool {
-			return (told[id] || k.source[id] == from) && !fresh[cue.News{Key: c, Node: id, Op: cue.Load}]
+		k.dir.ForgetIf(func(c hint.Key, id uint64) bool {
+			return (told[id] || k.source[id] == from) && !fresh[hint.News{Key: c, Node: id, Op: hint.Load}]
 		})
 	}
 	k.cursors[from] = Cursor{b.Inc, b.Next}
@@ -113,7 +113,7 @@
 }
 
 // SiteFeed answers the custodian that serves a site's proxies.
-func (k *Keeper) SiteFeed(site string, inc, since uint64) cue.Batch {
+func (k *Keeper) SiteFeed(site string, inc, since uint64) hint.Batch {
 	return k.dir.Box(site).Since(inc, since, 4096)
 }
 
@@ -158,11 +158,11 @@
 	}
 	n := k.near[s]
 	if n == nil {
-		t := cue.NewTable(1 << 15)
+		t := hint.NewTable(1 << 15)
 		n = &site{table: t, from: map[string]*Cursor{}}
-		n.box = cue.NewOutbox(k.inc, 1<<14, func() []cue.News {
-			var ns []cue.News
-			t.Each(func(c cue.Key, id uint64) { ns = append(ns, cue.News{Key: c, Node: id, Op: cue.Load}) })
+		n.box = hint.NewOutbox(k.inc, 1<<14, func() []hint.News {
+			var ns []hint.News
+			t.Each(func(c hint.Key, id uint64) { ns = append(ns, hint.News{Key: c, Node: id, Op: hint.Load}) })
 			return ns
 		})
 		k.near[s] = n
@@ -183,17 +183,17 @@
 
 // SiteNews takes in a shard owner's feed for a site and passes on what changes.
 // Shards are those the feed speaks for.
-func (k *Keeper) SiteNews(s, from string, shards []uint16, b cue.Batch) {
+func (k *Keeper) SiteNews(s, from string, shards []uint16, b hint.Batch) {
 	n := k.siteOf(s)
 	if b.Reset {
-		fresh := map[cue.Key]bool{}
+		fresh := map[hint.Key]bool{}
 		for _, w := range b.News {
 			fresh[w.Key] = true
 		}
-		var gone []cue.News
-		n.table.Each(func(c cue.Key, id uint64) {
+		var gone []hint.News
+		n.table.Each(func(c hint.Key, id uint64) {
 			if slices.Contains(shards, uint16(c.Shard(Shards))) && !fresh[c] {
-				gone = append(gone, cue.News{Key: c, Node: id, Op: cue.Drop})
+				gone = append(gone, hint.News{Key: c, Node: id, Op: hint.Drop})
 			}
 		})
 		for _, w := range gone {
@@ -206,9 +206,9 @@
 	*k.SiteCursor(s, from) = Cursor{b.Inc, b.Next}
 }
 
-func (k *Keeper) siteApply(n *site, w cue.News) {
+func (k *Keeper) siteApply(n *site, w hint.News) {
 	old, had := n.table.Get(w.Key)
-	if w.Op == cue.Load {
+	if w.Op == hint.Load {
 		if had && old == w.Node {
 			return
 		}
@@ -235,9 +235,9 @@
 }
 
 // ProxyFeed answers a proxy that follows its site's hints.
-func (k *Keeper) ProxyFeed(s string, inc, since uint64) (cue.Batch, bool) {
+func (k *Keeper) ProxyFeed(s string, inc, since uint64) (hint.Batch, bool) {
 	if !slices.Contains(k.MySites(), s) {
-		return cue.Batch{}, false
+		return hint.Batch{}, false
 	}
 	return k.siteOf(s).box.Since(inc, since, 4096), true
 }
--- a/custody/orders.go
+++ b/index/orders.go
@@ -1,11 +1,11 @@
-package custody
+package index
 
 import (
 	"sort"
 
-	"violetthread/clearing"
-	"violetthread/cue"
-	"violetthread/desk"
+	"violetthread/dispatch"
+	"violetthread/fairqueue"
+	"violetthread/hint"
 	"violetthread/plan"
 )
 
@@ -14,7 +14,7 @@
 	Attempt, Engine string
 	Peer            uint64
 	Total           int
-	Parts           []cue.Key
+	Parts           []hint.Key
 }
 
 // Seen is how a proxy's attempts at an engine went.
@@ -109,9 +109,9 @@
 			}
 		}
 	}
-	ds := make([]clearing.Demand, 0, len(k.proxies))
+	ds := make([]fairqueue.Demand, 0, len(k.proxies))
 	for n, p := range k.proxies {
-		ds = append(ds, clearing.Demand{Proxy: n, Want: p.want})
+		ds = append(ds, fairqueue.Demand{Proxy: n, Want: p.want})
 	}
 	var os []Order
 	for n, e := range k.engines {
@@ -138,7 +138,7 @@
 			if e.suspect > 3 {
 				room = max(1, room/4) // slow start for one that fails, never none
 			}
-			o.Room = clearing.Split(room, share, serving, ds, int(now/DutyTerm)+int(score(n, "")%97))[a.Proxy]
+			o.Room = fairqueue.Split(room, share, serving, ds, int(now/DutyTerm)+int(score(n, "")%97))[a.Proxy]
 		}
 		os = append(os, o)
 	}
@@ -150,7 +150,7 @@
 // list, and old enough that no proxy still uses it once this owner's lease ends.
 func (k *Keeper) orderAge(now int64, engine string) int64 {
 	left := k.duties[EngineDuty(engine)].until - now
-	return max(0, now-k.listAt, desk.OrderLimit-left)
+	return max(0, now-k.listAt, dispatch.OrderLimit-left)
 }
 
 // fade halves the suspicion of an engine every second, so that one bad report
--- a/custody/push.go
+++ b/index/push.go
@@ -1,4 +1,4 @@
-package custody
+package index
 
 import (
 	"slices"
@@ -6,12 +6,12 @@
 	"strconv"
 	"strings"
 
-	"violetthread/cue"
+	"violetthread/hint"
 )
 
 // PushFeed answers an index node that owns engines in a site with the parts
 // worth fetching there ahead of need.
-func (k *Keeper) PushFeed(site string, inc, since uint64) (cue.Batch, []Place) {
+func (k *Keeper) PushFeed(site string, inc, since uint64) (hint.Batch, []Place) {
 	return k.dir.PushBox(site).Since(inc, since, 256), k.known()
 }
 
@@ -48,12 +48,12 @@
 type Push struct {
 	Engine, Addr, From, Weights string
 	Epoch                       uint64
-	Part                        cue.Key
+	Part                        hint.Key
 }
 
 // Pushes turns a push feed into orders for the engines owned here. Every index
 // node picks the same engines of a site by rendezvous; each orders its own.
-func (k *Keeper) Pushes(now int64, site string, b cue.Batch, ps []Place) []Push {
+func (k *Keeper) Pushes(now int64, site string, b hint.Batch, ps []Place) []Push {
 	if k.plan == nil {
 		return nil
 	}
--- a/custody/reports.go
+++ b/index/reports.go
@@ -1,11 +1,11 @@
-package custody
+package index
 
 import (
 	"fmt"
 	"slices"
 	"sort"
 
-	"violetthread/cue"
+	"violetthread/hint"
 )
 
 // Event is one thing an engine told.
@@ -15,7 +15,7 @@
 	Drop    bool
 	Ran     string
 	Filled  uint64
-	Part    cue.Key
+	Part    hint.Key
 	HasPart bool
 }
 
@@ -34,7 +34,7 @@
 	inc, id   uint64
 	seq       uint64
 	known     bool // keeps are complete up to seq
-	keeps     map[cue.Key]bool
+	keeps     map[hint.Key]bool
 	weights   string
 	room      int
 	running   int
@@ -42,7 +42,7 @@
 	slow      int64
 	at        int64 // of the newest report
 	turnAt    int64 // when it was last told to change weights
-	grades    *cue.Grades
+	grades    *hint.Grades
 	pending   map[string]pendingImport
 	suspect   float64 // problems seen by proxies, fading
 	suspectAt int64
@@ -71,7 +71,7 @@
 		}
 		e := k.engines[n]
 		if e == nil {
-			e = &engine{Listed: l, keeps: map[cue.Key]bool{}, grades: cue.NewGrades(), pending: map[string]pendingImport{}}
+			e = &engine{Listed: l, keeps: map[hint.Key]bool{}, grades: hint.NewGrades(), pending: map[string]pendingImport{}}
 			k.engines[n] = e
 		}
 		ps = append(ps, Poll{n, l.Addr, ep, e.inc, e.seq, !e.known})
@@ -81,14 +81,14 @@
 }
 
 // Whole takes in all that an engine keeps, as of its event seq.
-func (k *Keeper) Whole(now int64, name string, inc, seq uint64, parts []cue.Key) {
+func (k *Keeper) Whole(now int64, name string, inc, seq uint64, parts []hint.Key) {
 	e := k.engines[name]
 	if _, ok := k.Holds(now, EngineDuty(name)); e == nil || !ok {
 		return
 	}
 	k.Counts.Resyncs++
 	k.reborn(e, inc)
-	now2 := map[cue.Key]bool{}
+	now2 := map[hint.Key]bool{}
 	for _, p := range parts {
 		now2[p] = true
 		k.keep(e, p)
@@ -107,7 +107,7 @@
 		return
 	}
 	k.forget(e)
-	e.inc, e.id, e.seq, e.known = inc, cue.NodeID(e.Name, inc), 0, false
+	e.inc, e.id, e.seq, e.known = inc, hint.NodeID(e.Name, inc), 0, false
 	e.pending = map[string]pendingImport{}
 }
 
@@ -163,21 +163,21 @@
 	}
 }
 
-func (k *Keeper) keep(e *engine, p cue.Key) {
+func (k *Keeper) keep(e *engine, p hint.Key) {
 	if !e.keeps[p] {
 		e.keeps[p] = true
-		k.tell(cue.News{Key: p, Node: e.id, Op: cue.Load})
+		k.tell(hint.News{Key: p, Node: e.id, Op: hint.Load})
 	}
 }
 
-func (k *Keeper) drop(e *engine, p cue.Key) {
+func (k *Keeper) drop(e *engine, p hint.Key) {
 	if e.keeps[p] {
 		delete(e.keeps, p)
-		k.tell(cue.News{Key: p, Node: e.id, Op: cue.Drop})
+		k.tell(hint.News{Key: p, Node: e.id, Op: hint.Drop})
 	}
 }
 
-func (k *Keeper) tell(n cue.News) {
+func (k *Keeper) tell(n hint.News) {
 	k.Counts.Told++
 	s := uint16(n.Key.Shard(Shards))
 	for _, f := range k.holds {
--- a/custody/weights.go
+++ b/index/weights.go
@@ -1,4 +1,4 @@
-package custody
+package index
 
 import (
 	"cmp"
--- a/internal/app/runner/runner.go
+++ b/internal/app/agent/agent.go
@@ -1,6 +1,6 @@
-// Package runner is the agent beside a proxy: it keeps the link to the control
+// Package agent is the agent beside a proxy: it keeps the link to the control
 // nodes and the index nodes, and feeds the proxy over loopback.
-package runner
+package agent
 
 import (
 	"context"
@@ -10,14 +10,14 @@
 
 	"github.com/gravitational/trace"
 
-	"violetthread/floor"
+	"violetthread/agent"
 	"violetthread/internal/app/session"
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 )
 
 // Settings of a runner.
@@ -33,7 +33,7 @@
 	ses  *session.Session
 	node atomic.Pointer[fb.NodeT]
 	mu   sync.Mutex
-	g    *floor.Agent
+	g    *agent.Agent
 }
 
 const (
@@ -62,17 +62,17 @@
 	if err := d.Profile(s.CPU); err != nil {
 		return nil, err
 	}
-	r := &runner{s: s, d: d, g: floor.New(s.Name, s.Site)}
+	r := &runner{s: s, d: d, g: agent.New(s.Name, s.Site)}
 	r.node.Store(&fb.NodeT{Name: s.Name, Role: "remisier", Site: s.Site, Addr: s.Wire})
-	r.book = link.NewBook(d.Crew)
-	r.ses = session.New(d.Crew, r.book, s.Seeds, func() *fb.NodeT { return r.node.Load() })
+	r.book = link.NewBook(d.Group)
+	r.ses = session.New(d.Group, r.book, s.Seeds, func() *fb.NodeT { return r.node.Load() })
 	l, err := net.Listen("tcp", s.Wire)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't listen on %s; give --wire a free loopback IP:port", s.Wire)
 	}
-	link.Serve(d.Crew, l, r.handle)
+	link.Serve(d.Group, l, r.handle)
 	r.ses.Run()
-	d.Crew.Go("orders", func(ctx context.Context) { crew.Every(ctx, clock.Micros(period), r.round) })
+	d.Group.Go("orders", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(period), r.round) })
 	d.Gauge("plan_rev", "revision of the plan held", func() float64 { return float64(r.ses.View().Rev) })
 	d.Gauge("plan_age_us", "time since the plan was vouched for", func() float64 { return float64(r.ses.View().Age(clock.Now())) })
 	d.SetReady("")
@@ -87,7 +87,7 @@
 		t, err := r.ses.Op(ctx, f.OpAsk, 1_900_000)
 		if err != nil {
 			r.d.Log.Info("op_unanswered", "key", f.OpAsk.Key, "cause", err.Error())
-			t = &fb.OpTellT{Status: byte(settle.Unknown)}
+			t = &fb.OpTellT{Status: byte(quorum.Unknown)}
 		}
 		return &fb.FrameT{OpTell: t}
 	}
@@ -108,7 +108,7 @@
 	as := r.g.Asks(clock.Now(), r.ses.View().Nodes)
 	r.mu.Unlock()
 	for _, a := range as {
-		r.d.Crew.Go("orders.ask", func(ctx context.Context) {
+		r.d.Group.Go("orders.ask", func(ctx context.Context) {
 			at := clock.Now()
 			f, err := r.book.At(a.Addr).Call(ctx, &fb.FrameT{RoomAsk: a.Room}, patience)
 			var t *fb.RoomTellT
--- a/internal/app/registrar/api.go
+++ b/internal/app/control/api.go
@@ -1,4 +1,4 @@
-package registrar
+package control
 
 import (
 	"encoding/json"
@@ -12,8 +12,8 @@
 	"violetthread/internal/clock"
 	"violetthread/internal/wire"
 	"violetthread/plan"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 )
 
 // Problems is what an operator gets for a plan that is not in order.
@@ -53,9 +53,9 @@
 func (r *Node) planHTTP(w http.ResponseWriter, q *http.Request) {
 	switch q.Method {
 	case http.MethodGet:
-		a := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: planKey})
+		a := r.Op(q.Context(), &fb.OpAskT{Kind: byte(quorum.OpGet), Key: planKey})
 		switch {
-		case settle.Status(a.Status) != settle.Done:
+		case quorum.Status(a.Status) != quorum.Done:
 			unsettled(w, a)
 		case a.Rev == 0:
 			base.JSON(w, http.StatusNotFound, Problems{Reason: "no-plan", Remedy: "send a whole plan first, with dealer plan put"})
@@ -94,8 +94,8 @@
 	}
 	for try := 0; try < 50; try++ {
 		// What is in force is read first in any case: the seal follows from it.
-		at := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: planKey})
-		if settle.Status(at.Status) != settle.Done {
+		at := r.Op(q.Context(), &fb.OpAskT{Kind: byte(quorum.OpGet), Key: planKey})
+		if quorum.Status(at.Status) != quorum.Done {
 			unsettled(w, at)
 			return
 		}
@@ -104,14 +104,14 @@
 			declined(w, err)
 			return
 		}
-		a := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: planKey, Val: sealed, Expect: at.Rev})
-		switch settle.Status(a.Status) {
-		case settle.Done:
+		a := r.Op(q.Context(), &fb.OpAskT{Kind: byte(quorum.OpPut), Key: planKey, Val: sealed, Expect: at.Rev})
+		switch quorum.Status(a.Status) {
+		case quorum.Done:
 			r.d.Log.Info("plan_accepted", "rev", a.Rev, "method", q.Method, "from", q.RemoteAddr)
 			w.Header().Set("ETag", etag(a.Rev))
 			base.JSON(w, http.StatusOK, Accepted{a.Rev})
 			return
-		case settle.Conflict:
+		case quorum.Conflict:
 			// Another operator's change came between reading and writing: without a
 			// precondition this one goes on top of what is there now.
 			if !c.If {
@@ -149,10 +149,10 @@
 
 func unsettled(w http.ResponseWriter, a *fb.OpTellT) {
 	w.Header().Set("Retry-After", "1")
-	switch settle.Status(a.Status) {
-	case settle.NotOwner:
+	switch quorum.Status(a.Status) {
+	case quorum.NotOwner:
 		base.JSON(w, http.StatusServiceUnavailable, Problems{Reason: "no-owner", Remedy: "nothing was changed; a majority of registrars must be up, then send again"})
-	case settle.Full:
+	case quorum.Full:
 		base.JSON(w, http.StatusInsufficientStorage, Problems{Reason: "state-full", Remedy: "nothing was changed; raise ring_files on every registrar"})
 	default:
 		base.JSON(w, http.StatusGatewayTimeout, Problems{Reason: "unknown", Remedy: "the change may or may not be in force; read the plan before sending again"})
@@ -188,7 +188,7 @@
 		no(http.StatusPreconditionFailed, "other-step", fmt.Sprintf("the roster is at step %d; look at it again", ro.Step()))
 		return
 	}
-	var come *settle.Voter
+	var come *quorum.Voter
 	if c.Addr != "" {
 		a, err := r.book.At(c.Addr).Call(q.Context(), &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc()}}, 1_000_000)
 		if err != nil || a.FoundTell == nil {
@@ -199,24 +199,24 @@
 			no(http.StatusConflict, "newcomer-not-empty", "its disk belongs to a roster already; give it an empty data_dir")
 			return
 		}
-		come = &settle.Voter{Name: a.FoundTell.Name, Addr: c.Addr, Inc: a.FoundTell.Inc}
+		come = &quorum.Voter{Name: a.FoundTell.Name, Addr: c.Addr, Inc: a.FoundTell.Inc}
 	}
 	n, err := ro.Next(c.Old, come)
 	if err != nil {
 		no(http.StatusBadRequest, "no-such-step", err.Error())
 		return
 	}
-	at := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: settle.RosterKey})
-	if settle.Status(at.Status) != settle.Done {
+	at := r.Op(q.Context(), &fb.OpAskT{Kind: byte(quorum.OpGet), Key: quorum.RosterKey})
+	if quorum.Status(at.Status) != quorum.Done {
 		unsettled(w, at)
 		return
 	}
-	a := r.Op(q.Context(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: settle.RosterKey, Val: n.Bytes(), Expect: at.Rev})
-	switch settle.Status(a.Status) {
-	case settle.Done:
+	a := r.Op(q.Context(), &fb.OpAskT{Kind: byte(quorum.OpPut), Key: quorum.RosterKey, Val: n.Bytes(), Expect: at.Rev})
+	switch quorum.Status(a.Status) {
+	case quorum.Done:
 		r.d.Log.Info("roster_changed", "step", n.Step(), "old", c.Old, "addr", c.Addr)
 		base.JSON(w, http.StatusOK, map[string]any{"step": n.Step(), "voters": n.Voters})
-	case settle.Conflict:
+	case quorum.Conflict:
 		no(http.StatusConflict, "not-now", string(a.Val))
 	default:
 		unsettled(w, a)
--- a/internal/app/registrar/registrar.go
+++ b/internal/app/control/control.go
@@ -1,6 +1,6 @@
-// Package registrar is a control node: it votes on keys, owns slots, keeps
+// Package control is a control node: it votes on keys, owns slots, keeps
 // sessions and answers operators.
-package registrar
+package control
 
 import (
 	"context"
@@ -15,17 +15,17 @@
 	"github.com/gravitational/trace"
 	"github.com/samber/lo"
 
-	"violetthread/depository"
-	"violetthread/depository/osdisk"
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
 	"violetthread/internal/wire"
+	"violetthread/membership"
 	"violetthread/plan"
-	"violetthread/roll"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
+	"violetthread/wal"
+	"violetthread/wal/osdisk"
 )
 
 // Settings of a registrar.
@@ -37,7 +37,7 @@
 	Eras      int   `json:"eras" validate:"min=2,max=64" help:"eras open at a time; a once-only ticket of an older one is not run"`
 	// Disk wraps the folder that the ring lies in, for failures of disks in tests; it
 	// has no name in a settings file and no flag.
-	Disk func(depository.FS) depository.FS
+	Disk func(wal.FS) wal.FS
 	// Patience bounds Node.Op, the way operators' requests take.
 	Patience  int64 `json:"patience_us" validate:"min=100000,max=60000000" help:"longest wait for an operator's change to be settled"`
 	Term      int64 `json:"term_us" validate:"min=300000,max=10000000" help:"lease of a slot's owner, the same at every registrar of a fleet"`
@@ -53,24 +53,24 @@
 type Node struct {
 	s       Settings
 	d       *base.Daemon
-	c       *crew.Crew // of the voter, while this disk is in a roster
+	c       *taskgroup.Group // of the voter, while this disk is in a roster
 	book    *link.Book
-	ring    *depository.Ring
+	ring    *wal.Log
 	inc     atomic.Uint64
 	found   atomic.Pointer[fb.FoundingT]
 	retired chan struct{} // a newer roster does not hold this disk
 	frames  atomic.Pointer[[]link.Handler]
 	mu      sync.Mutex
 	known   []string // addresses to ask while this disk is in no roster
-	recs    []settle.Rec
-	node    *settle.Node
+	recs    []quorum.Rec
+	node    *quorum.Node
 	in      chan func(now int64)
 	disk    chan batch
 	senders map[string]chan *fb.FrameT
-	waiting map[uint64]chan settle.Answer
+	waiting map[uint64]chan quorum.Answer
 	ops     uint64
 	ckpting atomic.Bool
-	roll    *roll.Roll
+	roll    *membership.Roll
 	cache   atomic.Pointer[plan.Held]
 	era     atomic.Uint64 // the newest that is known to be open
 	stats   atomic.Pointer[stats]
@@ -85,11 +85,11 @@
 type batch struct {
 	recs  [][]byte
 	count uint64
-	ckpt  []settle.Rec // the state at this point, to be restated
+	ckpt  []quorum.Rec // the state at this point, to be restated
 }
 
 type stats struct {
-	slots []settle.Slot
+	slots []quorum.Slot
 	size  int
 	firm  bool
 	mute  map[string]bool // voters not heard lately
@@ -123,8 +123,8 @@
 		return nil, err
 	}
 	r := &Node{s: s, d: d, retired: make(chan struct{}, 1), in: make(chan func(int64), 4096), disk: make(chan batch, 4096),
-		senders: map[string]chan *fb.FrameT{}, waiting: map[uint64]chan settle.Answer{}, roll: roll.New(s.Name)}
-	r.book = link.NewBook(d.Crew)
+		senders: map[string]chan *fb.FrameT{}, waiting: map[uint64]chan quorum.Answer{}, roll: membership.New(s.Name)}
+	r.book = link.NewBook(d.Group)
 	r.stats.Store(&stats{})
 	r.cache.Store(&plan.Held{})
 	if err := r.open(); err != nil {
@@ -134,10 +134,10 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't listen on %s; give --wire a free IP:port of this machine", s.Wire)
 	}
-	link.Serve(d.Crew, l, link.Chain(r.handle))
+	link.Serve(d.Group, l, link.Chain(r.handle))
 	d.OnDrain(r.leave)
 	r.routes()
-	d.Crew.Go("life", r.life)
+	d.Group.Go("life", r.life)
 	return r, nil
 }
 
@@ -148,11 +148,11 @@
 		return err
 	}
 	r.d.OnStop(func() { _ = lock.Close() })
-	var fs depository.FS = dir
+	var fs wal.FS = dir
 	if r.s.Disk != nil {
 		fs = r.s.Disk(fs)
 	}
-	ring, raw, err := depository.Open(fs, depository.Plan{Files: r.s.RingFiles, Size: r.s.RingBytes})
+	ring, raw, err := wal.Open(fs, wal.Plan{Files: r.s.RingFiles, Size: r.s.RingBytes})
 	if err != nil {
 		return err
 	}
@@ -216,19 +216,19 @@
 // vote runs the voter until a newer roster does not hold this disk: one loop for its
 // state, one for its disk, one to each peer.
 func (r *Node) vote(ctx context.Context) {
-	r.c = crew.New(ctx, r.d.Log)
+	r.c = taskgroup.New(ctx, r.d.Log)
 	defer r.c.Stop()
 	ro := wire.Unroster(r.found.Load())
-	p := settle.Defaults(r.s.Name, r.Inc())
+	p := quorum.Defaults(r.s.Name, r.Inc())
 	p.EraTerm, p.Eras, p.Term = r.s.EraTerm, r.s.Eras, r.s.Term
 	p.Limit = int(int64(r.s.RingFiles) * r.s.RingBytes / 4)
 	now := clock.Now()
-	r.node = settle.New(p, ro, now, r.recs)
+	r.node = quorum.New(p, ro, now, r.recs)
 	r.recs = nil
 	r.up.Store(true)
 	r.c.Go("disk", r.writeDisk)
 	r.c.Go("voter", func(ctx context.Context) {
-		crew.Serve(ctx, r.in, clock.Micros(p.Beat/4),
+		taskgroup.Serve(ctx, r.in, clock.Micros(p.Beat/4),
 			func(f func(int64)) { f(clock.Now()) },
 			func() {
 				now := clock.Now()
@@ -247,12 +247,12 @@
 				r.stats.Store(&stats{r.node.Slots(now), r.node.Size(), r.node.Firm(), mute})
 			})
 	})
-	r.c.Go("probe", func(ctx context.Context) { crew.Every(ctx, clock.Micros(probeEvery), r.probe) })
-	r.c.Go("plan", func(ctx context.Context) { crew.Every(ctx, clock.Micros(150_000), r.refresh) })
+	r.c.Go("probe", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(probeEvery), r.probe) })
+	r.c.Go("plan", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(150_000), r.refresh) })
 	r.c.Go("roll", func(ctx context.Context) {
-		crew.Every(ctx, clock.Micros(300_000), func(context.Context) {
+		taskgroup.Every(ctx, clock.Micros(300_000), func(context.Context) {
 			m := &fb.FrameT{RollTell: r.roll.Tell(clock.Now())}
-			crew.Offer(r.in, func(int64) {
+			taskgroup.Offer(r.in, func(int64) {
 				for _, v := range r.node.Roster().Voters {
 					r.give(v.Name, m)
 				}
@@ -260,12 +260,12 @@
 		})
 	})
 	r.d.SetReady("")
-	crew.Wait(ctx, r.retired)
+	taskgroup.Wait(ctx, r.retired)
 	r.up.Store(false)
 }
 
 // out carries a step's effects out.
-func (r *Node) out(o settle.Out) {
+func (r *Node) out(o quorum.Out) {
 	for _, e := range o.Events {
 		if !strings.HasPrefix(e, "unheard") {
 			r.d.Log.Info("settle", "what", e)
@@ -276,13 +276,13 @@
 		for _, c := range o.Recs {
 			b.recs = append(b.recs, wire.Rec(c))
 		}
-		crew.Give(r.c.Context(), r.disk, b)
+		taskgroup.Give(r.c.Context(), r.disk, b)
 	}
 	if o.Roster != nil {
 		f := wire.Roster(*o.Roster, r.Inc())
 		r.found.Store(f)
 		if !r.holds(f) {
-			crew.Offer(r.retired, struct{}{})
+			taskgroup.Offer(r.retired, struct{}{})
 		}
 	}
 	for _, s := range o.Sends {
@@ -302,12 +302,12 @@
 		return
 	}
 	done := make(chan struct{})
-	if crew.Give(ctx, r.in, func(now int64) {
+	if taskgroup.Give(ctx, r.in, func(now int64) {
 		r.out(r.node.Leave(now))
 		close(done)
 	}) {
-		crew.Wait(ctx, done)
-		crew.Pause(ctx, 100_000)
+		taskgroup.Wait(ctx, done)
+		taskgroup.Pause(ctx, 100_000)
 	}
 }
 
@@ -328,7 +328,7 @@
 		p := r.book.At(v.Addr)
 		r.c.Go("peer", func(ctx context.Context) {
 			for {
-				m, ok := crew.Wait(ctx, ch)
+				m, ok := taskgroup.Wait(ctx, ch)
 				if !ok {
 					return
 				}
@@ -336,18 +336,18 @@
 			}
 		})
 	}
-	crew.Offer(ch, m)
+	taskgroup.Offer(ch, m)
 }
 
 // writeDisk appends what has gathered, syncs once for all of it, and says so. A
 // checkpoint goes out in parts between, so that it holds no change up for long.
 func (r *Node) writeDisk(ctx context.Context) {
-	var ckpt []settle.Rec
+	var ckpt []quorum.Rec
 	under := false
 	for {
 		var bs []batch
 		if !under {
-			b, ok := crew.Wait(ctx, r.disk)
+			b, ok := taskgroup.Wait(ctx, r.disk)
 			if !ok {
 				return
 			}
@@ -372,7 +372,7 @@
 	tightAt  = 750  // from here on new changes are refused until a checkpoint made room
 )
 
-func (r *Node) append(bs []batch, ckpt *[]settle.Rec, under *bool) error {
+func (r *Node) append(bs []batch, ckpt *[]quorum.Rec, under *bool) error {
 	var n uint64
 	for _, b := range bs {
 		if b.ckpt != nil {
@@ -422,7 +422,7 @@
 		r.full.Store(true)
 	}
 	// A word that finds no room is not missed: each tick looks as well.
-	crew.Offer(r.in, r.onDisk)
+	taskgroup.Offer(r.in, r.onDisk)
 	return nil
 }
 
@@ -435,21 +435,21 @@
 
 // checkpoint queues the state behind all records it follows from.
 func (r *Node) checkpoint() {
-	crew.Give(r.c.Context(), r.disk, batch{ckpt: r.node.Checkpoint()})
+	taskgroup.Give(r.c.Context(), r.disk, batch{ckpt: r.node.Checkpoint()})
 }
 
 // do starts an operation here and waits for its answer.
-func (r *Node) do(ctx context.Context, op settle.Op) (settle.Answer, bool) {
-	ch := make(chan settle.Answer, 1)
-	if !crew.Give(ctx, r.in, func(now int64) {
+func (r *Node) do(ctx context.Context, op quorum.Op) (quorum.Answer, bool) {
+	ch := make(chan quorum.Answer, 1)
+	if !taskgroup.Give(ctx, r.in, func(now int64) {
 		r.ops++
 		op.ID = r.ops
 		r.waiting[op.ID] = ch
 		r.out(r.node.Do(now, op))
 	}) {
-		return settle.Answer{}, false
+		return quorum.Answer{}, false
 	}
-	return crew.Wait(ctx, ch)
+	return taskgroup.Wait(ctx, ch)
 }
 
 const (
@@ -462,9 +462,9 @@
 func (r *Node) pass(ctx context.Context, addr string, t *fb.OpAskT) *fb.OpTellT {
 	c := *t
 	c.Hops++
-	f, err := r.book.At(addr).Call(ctx, &fb.FrameT{OpAsk: &c}, lo.Ternary[int64](harmless(settle.OpKind(t.Kind)), 500_000, 2_000_000))
+	f, err := r.book.At(addr).Call(ctx, &fb.FrameT{OpAsk: &c}, lo.Ternary[int64](harmless(quorum.OpKind(t.Kind)), 500_000, 2_000_000))
 	if err != nil || f.OpTell == nil {
-		return &fb.OpTellT{Status: byte(settle.Unknown)}
+		return &fb.OpTellT{Status: byte(quorum.Unknown)}
 	}
 	return f.OpTell
 }
@@ -475,21 +475,21 @@
 		if via := r.another(); via != "" && t.Hops < maxHops {
 			return r.pass(ctx, via, t)
 		}
-		return &fb.OpTellT{Status: byte(settle.NotOwner)}
+		return &fb.OpTellT{Status: byte(quorum.NotOwner)}
 	}
-	a, ok := r.do(ctx, settle.Op{Kind: settle.OpKind(t.Kind), Key: t.Key, Val: t.Val, Expect: t.Expect, Holder: t.Holder, Term: t.Term})
+	a, ok := r.do(ctx, quorum.Op{Kind: quorum.OpKind(t.Kind), Key: t.Key, Val: t.Val, Expect: t.Expect, Holder: t.Holder, Term: t.Term})
 	if !ok {
-		return &fb.OpTellT{Status: byte(settle.Unknown)}
+		return &fb.OpTellT{Status: byte(quorum.Unknown)}
 	}
-	if a.Status == settle.NotOwner && a.Owner != "" && a.Owner != r.s.Name && t.Hops < maxHops {
+	if a.Status == quorum.NotOwner && a.Owner != "" && a.Owner != r.s.Name && t.Hops < maxHops {
 		f := r.found.Load()
 		if f == nil || r.stats.Load().mute[a.Owner] {
 			// Nothing was sent, so that it is safe to say so and try again.
-			return &fb.OpTellT{Status: byte(settle.NotOwner)}
+			return &fb.OpTellT{Status: byte(quorum.NotOwner)}
 		}
 		v, ok := lo.Find(f.Voters, func(v *fb.VoterT) bool { return v.Name == a.Owner })
 		if !ok {
-			return &fb.OpTellT{Status: byte(settle.NotOwner)}
+			return &fb.OpTellT{Status: byte(quorum.NotOwner)}
 		}
 		return r.pass(ctx, v.Addr, t)
 	}
@@ -514,7 +514,7 @@
 	case f.Settle != nil:
 		if r.up.Load() {
 			m := wire.Unsettle(f.Settle)
-			crew.Give(ctx, r.in, func(now int64) { r.out(r.node.Recv(now, m)) })
+			taskgroup.Give(ctx, r.in, func(now int64) { r.out(r.node.Recv(now, m)) })
 		}
 		return nil
 	case f.RollTell != nil:
@@ -541,13 +541,13 @@
 	defer stop()
 	c := r.cache.Load()
 	at := clock.Now()
-	q := &fb.OpAskT{Kind: byte(settle.OpGet), Key: planKey, Have: c.Rev}
+	q := &fb.OpAskT{Kind: byte(quorum.OpGet), Key: planKey, Have: c.Rev}
 	t := r.op(ctx, q)
-	if settle.Status(t.Status) != settle.Done {
+	if quorum.Status(t.Status) != quorum.Done {
 		// The way to the owner may be cut here and not elsewhere. The age counts
 		// from the first question all the same.
 		if via := r.another(); via != "" {
-			ctx, stop := context.WithTimeout(r.d.Crew.Context(), clock.Micros(700_000))
+			ctx, stop := context.WithTimeout(r.d.Group.Context(), clock.Micros(700_000))
 			defer stop()
 			q.Hops = 1
 			if f, err := r.book.At(via).Call(ctx, &fb.FrameT{OpAsk: q}, 600_000); err == nil && f.OpTell != nil {
@@ -555,7 +555,7 @@
 			}
 		}
 	}
-	if settle.Status(t.Status) == settle.Done {
+	if quorum.Status(t.Status) == quorum.Done {
 		n, _, _ := c.Take(plan.Word{Rev: t.Rev, Raw: t.Val, Fresh: true}, at)
 		r.cache.Store(&n)
 	}
--- a/internal/app/registrar/embed.go
+++ b/internal/app/control/embed.go
@@ -1,4 +1,4 @@
-package registrar
+package control
 
 import (
 	"context"
@@ -7,10 +7,10 @@
 
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 )
 
 // Daemon is the process around the node.
@@ -67,8 +67,8 @@
 		c := *t
 		a := r.op(ctx, &c)
 		again := false
-		a, doubt, again = verdict(settle.OpKind(t.Kind), a, doubt)
-		if !again || !crew.Pause(ctx, 30_000) {
+		a, doubt, again = verdict(quorum.OpKind(t.Kind), a, doubt)
+		if !again || !taskgroup.Pause(ctx, 30_000) {
 			return a
 		}
 	}
@@ -76,24 +76,24 @@
 
 // harmless tells the operations that may be carried out twice: a read, and a claim or
 // lease that its very holder asks for again (design §4.5, §6).
-func harmless(k settle.OpKind) bool {
-	return k == settle.OpGet || k == settle.OpClaim || k == settle.OpHold
+func harmless(k quorum.OpKind) bool {
+	return k == quorum.OpGet || k == quorum.OpClaim || k == quorum.OpHold
 }
 
 // verdict is what the caller may be told after a try, whether one of the tries may
 // still take effect, and whether to try again. After a try in doubt only an answer
 // that holds whatever became of it counts; a read is never in doubt.
-func verdict(k settle.OpKind, a *fb.OpTellT, doubt bool) (tell *fb.OpTellT, doubtful, again bool) {
-	switch st := settle.Status(a.Status); {
-	case st == settle.Done || st == settle.Conflict || st == settle.Closed:
+func verdict(k quorum.OpKind, a *fb.OpTellT, doubt bool) (tell *fb.OpTellT, doubtful, again bool) {
+	switch st := quorum.Status(a.Status); {
+	case st == quorum.Done || st == quorum.Conflict || st == quorum.Closed:
 		return a, doubt, false
-	case st == settle.Unknown && !harmless(k):
+	case st == quorum.Unknown && !harmless(k):
 		return a, true, false
-	case st == settle.Unknown:
-		return a, doubt || k != settle.OpGet, true
+	case st == quorum.Unknown:
+		return a, doubt || k != quorum.OpGet, true
 	case doubt:
-		return &fb.OpTellT{Status: byte(settle.Unknown)}, true, true
+		return &fb.OpTellT{Status: byte(quorum.Unknown)}, true, true
 	default:
-		return a, false, st == settle.NotOwner
+		return a, false, st == quorum.NotOwner
 	}
 }
--- a/internal/app/registrar/heard.go
+++ b/internal/app/control/heard.go
@@ -1,4 +1,4 @@
-package registrar
+package control
 
 import (
 	"context"
--- a/internal/app/registrar/join.go
+++ b/internal/app/control/join.go
@@ -1,4 +1,4 @@
-package registrar
+package control
 
 import (
 	"context"
@@ -12,10 +12,10 @@
 	"github.com/samber/lo"
 
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
+	"violetthread/internal/taskgroup"
 	"violetthread/internal/wire"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 )
 
 const (
@@ -78,7 +78,7 @@
 	r.node, r.recs, r.tight = nil, nil, false
 	for id, ch := range r.waiting {
 		delete(r.waiting, id)
-		ch <- settle.Answer{Status: settle.Unknown}
+		ch <- quorum.Answer{Status: quorum.Unknown}
 	}
 	clear(r.senders)
 	for len(r.disk) > 0 {
@@ -123,7 +123,7 @@
 // join asks whoever may know a roster, each on its own so that a dead one holds
 // nobody up, until a roster holds this disk or it founded one with the seeds.
 func (r *Node) join(ctx context.Context) (*fb.FoundingT, bool) {
-	c := crew.New(ctx, r.d.Log)
+	c := taskgroup.New(ctx, r.d.Log)
 	defer c.Stop()
 	ch := make(chan told, 64)
 	asked, last := map[string]bool{}, map[string]told{}
@@ -136,7 +136,7 @@
 			c.Go("ask", func(ctx context.Context) {
 				for ctx.Err() == nil {
 					at := clock.Now()
-					if !crew.Give(ctx, ch, told{a, at, r.ask(ctx, a, true)}) || !crew.Pause(ctx, askEvery) {
+					if !taskgroup.Give(ctx, ch, told{a, at, r.ask(ctx, a, true)}) || !taskgroup.Pause(ctx, askEvery) {
 						return
 					}
 				}
@@ -148,12 +148,12 @@
 			r.d.SetReady(err.Error())
 		}
 		if len(asked) == 0 { // nobody to ask but those who find this node
-			if !crew.Pause(ctx, askEvery) {
+			if !taskgroup.Pause(ctx, askEvery) {
 				return nil, false
 			}
 			continue
 		}
-		w, ok := crew.Wait(ctx, ch)
+		w, ok := taskgroup.Wait(ctx, ch)
 		if !ok {
 			return nil, false
 		}
@@ -210,7 +210,7 @@
 		}
 	}
 	fleet := h.Sum64() >> 24
-	return &fb.FoundingT{Fleet: fleet, Rev: settle.Found(fleet), Voters: vs}, nil
+	return &fb.FoundingT{Fleet: fleet, Rev: quorum.Found(fleet), Voters: vs}, nil
 }
 
 // foundTell answers who this is. A blank asker wants to be let in; one that votes may
@@ -221,8 +221,8 @@
 	switch {
 	case err != nil || q.Name == "" || q.Inc == 0:
 	case q.Blank && f != nil && r.up.Load():
-		v := settle.Voter{Name: q.Name, Addr: q.Addr, Inc: q.Inc}
-		crew.Offer(r.in, func(now int64) { r.out(r.node.Admit(now, v)) })
+		v := quorum.Voter{Name: q.Name, Addr: q.Addr, Inc: q.Inc}
+		taskgroup.Offer(r.in, func(now int64) { r.out(r.node.Admit(now, v)) })
 	case !q.Blank && f == nil:
 		r.learn([]string{q.Addr})
 	}
@@ -233,10 +233,10 @@
 // been left out of newer rosters, and asks for them; one that is blank since learns
 // from the question whom to ask.
 func (r *Node) probe(ctx context.Context) {
-	ch := make(chan []settle.Voter, 1)
+	ch := make(chan []quorum.Voter, 1)
 	far := false
-	if !crew.Give(ctx, r.in, func(now int64) {
-		var vs []settle.Voter
+	if !taskgroup.Give(ctx, r.in, func(now int64) {
+		var vs []quorum.Voter
 		ro := r.node.Roster()
 		for _, v := range ro.Voters {
 			if v.Name != r.s.Name && r.node.Silence(now, v.Name) > lonely {
@@ -248,11 +248,11 @@
 	}) {
 		return
 	}
-	vs, ok := crew.Wait(ctx, ch)
+	vs, ok := taskgroup.Wait(ctx, ch)
 	if !ok || len(vs) == 0 {
 		return
 	}
-	as := lo.Map(vs, func(v settle.Voter, _ int) string { return v.Addr })
+	as := lo.Map(vs, func(v quorum.Voter, _ int) string { return v.Addr })
 	if far {
 		as = append(as, r.knows()...)
 	}
@@ -264,7 +264,7 @@
 				return
 			}
 			ro := wire.Unroster(t.Founding)
-			crew.Give(ctx, r.in, func(now int64) { r.out(r.node.Learn(now, ro)) })
+			taskgroup.Give(ctx, r.in, func(now int64) { r.out(r.node.Learn(now, ro)) })
 		})
 	}
 }
--- a/internal/app/steward/conduct.go
+++ b/internal/app/directory/conduct.go
@@ -1,13 +1,13 @@
-package steward
+package directory
 
 import (
 	"context"
 	"sync"
 
 	"violetthread/internal/clock"
+	"violetthread/quorum"
 	"violetthread/rollout"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 )
 
 // WeightsDuty is the lease of the one who brings engines to new weights. Its
@@ -36,7 +36,7 @@
 }
 
 // conduct renews the duty's lease and takes the next steps of a roll-out.
-func (t *Steward) conduct(ctx context.Context) {
+func (t *Directory) conduct(ctx context.Context) {
 	d := t.dealer
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -50,8 +50,8 @@
 		return
 	}
 	if d.con == nil {
-		a := t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(settle.OpGet), Key: RolloutKey})
-		if settle.Status(a.Status) != settle.Done {
+		a := t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpGet), Key: RolloutKey})
+		if quorum.Status(a.Status) != quorum.Done {
 			return
 		}
 		s, err := rollout.Read(a.Val)
@@ -74,22 +74,22 @@
 		return
 	}
 	for _, o := range orders {
-		t.crew.Go("steward.order", func(ctx context.Context) { t.order(ctx, o, d.fence) })
+		t.group.Go("steward.order", func(ctx context.Context) { t.order(ctx, o, d.fence) })
 	}
 	for _, id := range look {
 		for _, e := range es {
 			if e.ID == id && now-d.looked[id] >= lookEvery {
 				d.looked[id] = now
-				t.crew.Go("steward.look", func(ctx context.Context) { t.look(ctx, e) })
+				t.group.Go("steward.look", func(ctx context.Context) { t.look(ctx, e) })
 			}
 		}
 	}
 }
 
 // keep writes the roll-out's state before anybody acts on it.
-func (t *Steward) keep(ctx context.Context, d *dealer) bool {
-	a := t.ctl.Op(ctx, &fb.OpAskT{Kind: byte(settle.OpPut), Key: RolloutKey, Val: d.con.S.Bytes(), Expect: d.rev})
-	if settle.Status(a.Status) != settle.Done {
+func (t *Directory) keep(ctx context.Context, d *dealer) bool {
+	a := t.ctl.Op(ctx, &fb.OpAskT{Kind: byte(quorum.OpPut), Key: RolloutKey, Val: d.con.S.Bytes(), Expect: d.rev})
+	if quorum.Status(a.Status) != quorum.Done {
 		d.con = nil // read anew what stands there
 		return false
 	}
@@ -107,7 +107,7 @@
 }
 
 // hold asks for the duty's lease, or for more of it.
-func (t *Steward) hold(ctx context.Context, now int64) bool {
+func (t *Directory) hold(ctx context.Context, now int64) bool {
 	d := t.dealer
 	term := t.s.Bounds.LeaseUS + 500_000
 	if d.until-now > term*2/3 {
@@ -115,8 +115,8 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(800_000))
 	defer stop()
-	a := t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(settle.OpHold), Key: WeightsDuty, Holder: d.holder, Term: term})
-	if settle.Status(a.Status) != settle.Done {
+	a := t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpHold), Key: WeightsDuty, Holder: d.holder, Term: term})
+	if quorum.Status(a.Status) != quorum.Done {
 		return now < d.until
 	}
 	if a.Rev != d.fence {
@@ -127,7 +127,7 @@
 	return true
 }
 
-func (t *Steward) order(ctx context.Context, o rollout.Order, fence uint64) {
+func (t *Directory) order(ctx context.Context, o rollout.Order, fence uint64) {
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(orderMost))
 	defer stop()
 	d := t.dealer
@@ -150,7 +150,7 @@
 }
 
 // look asks a turning engine itself: the platform's list comes late.
-func (t *Steward) look(ctx context.Context, e rollout.Engine) {
+func (t *Directory) look(ctx context.Context, e rollout.Engine) {
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(500_000))
 	defer stop()
 	w, busy, err := t.pf.Running(ctx, e.Addr)
@@ -165,7 +165,7 @@
 }
 
 // inbox hands the conductor what an engine said, if there still is one.
-func (t *Steward) inbox(f func(c *rollout.Conductor, now int64)) {
+func (t *Directory) inbox(f func(c *rollout.Conductor, now int64)) {
 	t.dealer.mu.Lock()
 	defer t.dealer.mu.Unlock()
 	if c := t.dealer.con; c != nil {
@@ -174,13 +174,13 @@
 }
 
 // Leave gives the duty back, so that another need not wait its lease out.
-func (t *Steward) Leave(ctx context.Context) {
+func (t *Directory) Leave(ctx context.Context) {
 	d := t.dealer
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if clock.Now() < d.until {
 		d.until = 0
-		t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(settle.OpFree), Key: WeightsDuty, Holder: d.holder, Expect: d.fence})
+		t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpFree), Key: WeightsDuty, Holder: d.holder, Expect: d.fence})
 	}
 	d.con = nil
 }
--- a/internal/app/steward/steward.go
+++ b/internal/app/directory/directory.go
@@ -1,4 +1,4 @@
-package steward
+package directory
 
 import (
 	"context"
@@ -14,14 +14,14 @@
 
 	"github.com/go-logr/logr"
 
-	"violetthread/cue"
+	"violetthread/hint"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
+	"violetthread/internal/taskgroup"
 	"violetthread/placement"
+	"violetthread/quorum"
 	"violetthread/rollout"
 	"violetthread/route"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 )
 
 // namedKept is how many versions of a model proxies are told of: who lags behind an
@@ -53,11 +53,11 @@
 	darkAfter    = 2 // questions in a row that failed, until an engine counts as down
 )
 
-// Steward is one core machine's part.
-type Steward struct {
+// Directory is one core machine's part.
+type Directory struct {
 	s    Settings
 	log  logr.Logger
-	crew *crew.Crew
+	group *taskgroup.Group
 	ctl  Control
 	pf   Platform
 	inc  uint64
@@ -82,8 +82,8 @@
 	wanted     map[string]uint64           // newest version named of each model
 	first      map[string]map[uint64]int64 // model, version: when first heard of
 	readers    map[string]*reader
-	box        *cue.Outbox
-	kept       map[uint64]map[cue.Key]bool
+	box        *hint.Outbox
+	kept       map[uint64]map[hint.Key]bool
 	dealer     *dealer
 	proxies    map[string]*proxy
 	duty       register
@@ -95,7 +95,7 @@
 	at    int64
 	here  bool
 	loads []*fb.LoadT
-	rest  []cue.News // of a snapshot that it gets in pages
+	rest  []hint.News // of a snapshot that it gets in pages
 }
 
 // newsPage bounds the news in one answer: proxies' links are narrow, and an answer that
@@ -115,18 +115,18 @@
 	at    int64
 }
 
-// New makes a steward and starts its loops on the crew.
-func New(c *crew.Crew, s Settings, ctl Control, pf Platform) *Steward {
+// New makes a steward and starts its loops on the group.
+func New(c *taskgroup.Group, s Settings, ctl Control, pf Platform) *Directory {
 	var b [8]byte
 	if _, err := rand.Read(b[:]); err != nil {
 		panic(err) // no machine of ours is without random numbers
 	}
-	t := &Steward{s: s, log: c.Log(), crew: c, ctl: ctl, pf: pf, inc: binary.LittleEndian.Uint64(b[:])>>24 | 1,
-		bell: make(chan struct{}), first: map[string]map[uint64]int64{}, readers: map[string]*reader{}, kept: map[uint64]map[cue.Key]bool{}, mapRev: 1, proxies: map[string]*proxy{}}
-	t.box = cue.NewOutbox(t.inc, 1<<13, t.allKept)
+	t := &Directory{s: s, log: c.Log(), group: c, ctl: ctl, pf: pf, inc: binary.LittleEndian.Uint64(b[:])>>24 | 1,
+		bell: make(chan struct{}), first: map[string]map[uint64]int64{}, readers: map[string]*reader{}, kept: map[uint64]map[hint.Key]bool{}, mapRev: 1, proxies: map[string]*proxy{}}
+	t.box = hint.NewOutbox(t.inc, 1<<13, t.allKept)
 	t.dealer = &dealer{looked: map[string]int64{}, holder: fmt.Sprintf("%s#%x", s.Name, t.inc)}
 	every := func(name string, us int64, f func(context.Context)) {
-		c.Go(name, func(ctx context.Context) { crew.Every(ctx, clock.Micros(us), f) })
+		c.Go(name, func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(us), f) })
 	}
 	every("steward.registers", refreshFirst, t.refreshDue)
 	every("steward.list", listLook, t.list)
@@ -136,13 +136,13 @@
 }
 
 // ring tells all who wait that something urgent changed. Called under the lock.
-func (t *Steward) ring() {
+func (t *Directory) ring() {
 	close(t.bell)
 	t.bell = make(chan struct{})
 }
 
 // refreshDue refreshes when it is time to; after a start that is sooner.
-func (t *Steward) refreshDue(ctx context.Context) {
+func (t *Directory) refreshDue(ctx context.Context) {
 	t.mu.Lock()
 	due := !t.conf.known || clock.Now()-t.refreshAt >= refreshEvery-refreshFirst/2
 	t.mu.Unlock()
@@ -152,7 +152,7 @@
 }
 
 // refresh reads the registers anew; ages count from before the question.
-func (t *Steward) refresh(ctx context.Context) {
+func (t *Directory) refresh(ctx context.Context) {
 	t.mu.Lock()
 	t.refreshAt = clock.Now()
 	t.mu.Unlock()
@@ -193,17 +193,17 @@
 }
 
 // Refresh reads the registers at once, for whoever has just changed one.
-func (t *Steward) Refresh(ctx context.Context) { t.refresh(ctx) }
+func (t *Directory) Refresh(ctx context.Context) { t.refresh(ctx) }
 
-func (t *Steward) read(ctx context.Context, key string, r *register, take func([]byte, uint64)) {
+func (t *Directory) read(ctx context.Context, key string, r *register, take func([]byte, uint64)) {
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(700_000))
 	defer stop()
 	t.mu.Lock()
 	have := r.rev
 	t.mu.Unlock()
 	at := clock.Now()
-	a := t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(settle.OpGet), Key: key, Have: have})
-	if settle.Status(a.Status) != settle.Done {
+	a := t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpGet), Key: key, Have: have})
+	if quorum.Status(a.Status) != quorum.Done {
 		return
 	}
 	t.mu.Lock()
@@ -229,7 +229,7 @@
 const unsettledFor = 4_000_000
 
 // tellLoads tells the other stewards what the proxies that ask here have under way.
-func (t *Steward) tellLoads(context.Context) {
+func (t *Directory) tellLoads(context.Context) {
 	now := clock.Now()
 	m := &fb.LoadTellT{}
 	t.mu.Lock()
@@ -248,7 +248,7 @@
 	t.ctl.Tell(&fb.FrameT{LoadTell: m})
 }
 
-func (t *Steward) hearLoads(now int64, m *fb.LoadTellT) {
+func (t *Directory) hearLoads(now int64, m *fb.LoadTellT) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range m.Proxies {
@@ -259,7 +259,7 @@
 }
 
 // others sums what all proxies but one have under way. Called under the lock.
-func (t *Steward) others(now int64, but string) (out []*fb.LoadT) {
+func (t *Directory) others(now int64, but string) (out []*fb.LoadT) {
 	sum := map[uint64]*fb.LoadT{}
 	for n, p := range t.proxies {
 		if n == but || now-p.at > loadsOld {
@@ -282,7 +282,7 @@
 // platform, whose calls are dear; the others ask that one, and the platform only if it
 // has nothing fresh to tell. A list that was pushed would be taken for new by whoever
 // thaws or whose wire heals (design §3), so it is asked for, and its age counts from then.
-func (t *Steward) list(ctx context.Context) {
+func (t *Directory) list(ctx context.Context) {
 	now := clock.Now()
 	t.mu.Lock()
 	at, place, first := t.listAt, t.place(), t.first1
@@ -313,7 +313,7 @@
 const listTurn = 300_000
 
 // place is this steward's place in line for the list. Called under the lock.
-func (t *Steward) place() int64 {
+func (t *Directory) place() int64 {
 	vs := slices.Sorted(slices.Values(t.ctl.Voters()))
 	if len(vs) == 0 {
 		return 0
@@ -323,7 +323,7 @@
 }
 
 // listFrom takes over the list that another steward has.
-func (t *Steward) listFrom(ctx context.Context, addr string) {
+func (t *Directory) listFrom(ctx context.Context, addr string) {
 	at := clock.Now()
 	f, err := t.ctl.Ask(ctx, addr, &fb.FrameT{MapAsk: &fb.MapAskT{Inc: t.farInc, Map: t.farMap, NewsInc: 1}}, 400_000)
 	if err != nil || f.MapTell == nil {
@@ -353,7 +353,7 @@
 }
 
 // takeList puts a list in force that was asked for at time at.
-func (t *Steward) takeList(at int64, l []Listed) bool {
+func (t *Directory) takeList(at int64, l []Listed) bool {
 	sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -377,7 +377,7 @@
 
 // follow makes sure that every engine and store has a reader, and nobody else.
 // Called under the lock.
-func (t *Steward) follow() {
+func (t *Directory) follow() {
 	want := map[string]string{}
 	node := map[string]uint64{}
 	if t.table != nil {
@@ -399,27 +399,27 @@
 	}
 	for id, addr := range want {
 		if t.readers[id] == nil {
-			ctx, stop := context.WithCancel(t.crew.Context())
+			ctx, stop := context.WithCancel(t.group.Context())
 			r := &reader{t: t, id: id, addr: addr, node: node[id], stop: stop}
 			t.readers[id] = r
-			t.crew.Go("steward.news", func(context.Context) { r.run(ctx) })
+			t.group.Go("steward.news", func(context.Context) { r.run(ctx) })
 		}
 	}
 }
 
 // forget drops all that a holder held. Called under the lock.
-func (t *Steward) forget(node uint64) {
+func (t *Directory) forget(node uint64) {
 	for k := range t.kept[node] {
-		t.box.Add(cue.News{Key: k, Node: node, Op: cue.Drop})
+		t.box.Add(hint.News{Key: k, Node: node, Op: hint.Drop})
 	}
 	delete(t.kept, node)
 }
 
-func (t *Steward) allKept() []cue.News {
-	var ns []cue.News
+func (t *Directory) allKept() []hint.News {
+	var ns []hint.News
 	for n, ks := range t.kept {
 		for k := range ks {
-			ns = append(ns, cue.News{Key: k, Node: n, Op: cue.Load})
+			ns = append(ns, hint.News{Key: k, Node: n, Op: hint.Load})
 		}
 	}
 	return ns
@@ -427,7 +427,7 @@
 
 // reader follows what one engine or store keeps.
 type reader struct {
-	t     *Steward
+	t     *Directory
 	id    string
 	addr  string
 	node  uint64
@@ -460,7 +460,7 @@
 			r.t.ring()
 		}
 		r.t.mu.Unlock()
-		if !crew.Pause(ctx, newsPause) {
+		if !taskgroup.Pause(ctx, newsPause) {
 			return
 		}
 	}
@@ -482,27 +482,27 @@
 	r.since = p.Next
 	ks := t.kept[r.node]
 	if ks == nil {
-		ks = map[cue.Key]bool{}
+		ks = map[hint.Key]bool{}
 		t.kept[r.node] = ks
 	}
 	for _, c := range p.Changes {
-		k := cue.PartKey(c.Salt, c.Model, c.Part)
+		k := hint.PartKey(c.Salt, c.Model, c.Part)
 		if c.Kept == ks[k] {
 			continue
 		}
-		op := cue.Load
+		op := hint.Load
 		if c.Kept {
 			ks[k] = true
 		} else {
 			delete(ks, k)
-			op = cue.Drop
+			op = hint.Drop
 		}
-		t.box.Add(cue.News{Key: k, Node: r.node, Op: op})
+		t.box.Add(hint.News{Key: k, Node: r.node, Op: op})
 	}
 }
 
 // Handle answers proxies. Anything else is not its own.
-func (t *Steward) Handle(ctx context.Context, f *fb.FrameT) *fb.FrameT {
+func (t *Directory) Handle(ctx context.Context, f *fb.FrameT) *fb.FrameT {
 	now := clock.Now()
 	if f.LoadTell != nil {
 		t.hearLoads(now, f.LoadTell)
@@ -537,7 +537,7 @@
 			break
 		}
 		w, stop := context.WithTimeout(ctx, clock.Micros(left))
-		crew.Wait(w, bell)
+		taskgroup.Wait(w, bell)
 		stop()
 		if ctx.Err() != nil {
 			return nil
@@ -546,7 +546,7 @@
 	return &fb.FrameT{MapTell: t.tell(q, now)}
 }
 
-func (t *Steward) tell(q *fb.MapAskT, asked int64) *fb.MapTellT {
+func (t *Directory) tell(q *fb.MapAskT, asked int64) *fb.MapTellT {
 	voters, live := t.ctl.Voters(), t.ctl.Live(clock.Now())
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -590,7 +590,7 @@
 	return a
 }
 
-func (t *Steward) restOf(q *fb.MapAskT) []cue.News {
+func (t *Directory) restOf(q *fb.MapAskT) []hint.News {
 	if q.Node == nil || t.proxies[q.Node.Name] == nil {
 		return nil
 	}
@@ -598,13 +598,13 @@
 }
 
 // news is the next page for a proxy. Called under the lock.
-func (t *Steward) news(q *fb.MapAskT) cue.Batch {
+func (t *Directory) news(q *fb.MapAskT) hint.Batch {
 	var x *proxy
 	if q.Node != nil {
 		x = t.proxies[q.Node.Name]
 	}
 	if x != nil && len(x.rest) > 0 && q.NewsInc == t.inc {
-		b := cue.Batch{Inc: q.NewsInc, Next: q.NewsSince, News: x.rest[:min(newsPage, len(x.rest))]}
+		b := hint.Batch{Inc: q.NewsInc, Next: q.NewsSince, News: x.rest[:min(newsPage, len(x.rest))]}
 		x.rest = x.rest[len(b.News):]
 		return b
 	}
@@ -628,7 +628,7 @@
 }
 
 // engines is the map as proxies see it, stores included.
-func (t *Steward) engines() (out []*fb.MapEngineT) {
+func (t *Directory) engines() (out []*fb.MapEngineT) {
 	down := func(id string) bool { r := t.readers[id]; return r != nil && r.bad >= darkAfter }
 	for _, e := range t.listed {
 		x := &fb.MapEngineT{Id: e.ID, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining, Slots: uint32(e.Slots), Down: down(e.ID)}
@@ -648,7 +648,7 @@
 }
 
 // Describe is a line for operators and the log.
-func (t *Steward) Describe() string {
+func (t *Directory) Describe() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return strings.Join([]string{"config=" + strconv.FormatUint(t.conf.rev, 10), "engines=" + strconv.Itoa(len(t.listed)),
--- a/internal/app/steward/port.go
+++ b/internal/app/directory/port.go
@@ -1,7 +1,7 @@
-// Package steward is the part of a core machine that follows the engines of a fleet
+// Package directory is the part of a core machine that follows the engines of a fleet
 // whose requests are passed through: which there are, what they keep, which weights
 // they run. It tells proxies, and brings engines to new weights (design §12, §15).
-package steward
+package directory
 
 import (
 	"context"
--- a/internal/app/remisier/call.go
+++ b/internal/app/gateway/call.go
@@ -1,4 +1,4 @@
-package remisier
+package gateway
 
 import (
 	"bufio"
@@ -17,14 +17,14 @@
 	"sync/atomic"
 	"time"
 
-	"violetthread/blotter"
-	"violetthread/cue"
-	"violetthread/desk"
+	"violetthread/attempt"
+	"violetthread/dispatch"
+	"violetthread/hint"
 	"violetthread/internal/base"
 	"violetthread/internal/callerapi"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/engineapi"
+	"violetthread/internal/taskgroup"
 	"violetthread/plan"
 )
 
@@ -37,7 +37,7 @@
 type call struct {
 	ref  uint64
 	done chan struct{}
-	end  desk.Act // set before done is closed
+	end  dispatch.Act // set before done is closed
 	cuts map[string]context.CancelFunc
 	// The attempt writes its pieces itself: handing each to the caller's own
 	// goroutine would cost a wake-up a piece.
@@ -94,7 +94,7 @@
 	case r.d.Stopping():
 		r.refuse(w, http.StatusServiceUnavailable, "stopping", 1_000_000)
 		return
-	case v.Plan == nil || v.Age(clock.Now()) > desk.PlanLimit:
+	case v.Plan == nil || v.Age(clock.Now()) > dispatch.PlanLimit:
 		r.refuse(w, http.StatusServiceUnavailable, "plan-not-fresh", 1_000_000)
 		return
 	}
@@ -168,9 +168,9 @@
 	if t.ID == "" {
 		t.ID = "t-" + hex.EncodeToString(binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(nil, r.inc), uint32(r.refs.Add(1))))
 	}
-	x := desk.Ticket{Ref: r.refs.Add(1), ID: t.ID, Own: own, Era: t.Era, Group: group, Kind: t.Kind, Digest: digest, Due: arrived + t.DueUS,
+	x := dispatch.Ticket{Ref: r.refs.Add(1), ID: t.ID, Own: own, Era: t.Era, Group: group, Kind: t.Kind, Digest: digest, Due: arrived + t.DueUS,
 		Prompt: t.Prompt, Weights: p.Weights, Domain: p.Domain(group, p.Weights)}
-	x.Chain = cue.Chain(x.Domain, x.Weights, x.Prompt)
+	x.Chain = hint.Chain(x.Domain, x.Weights, x.Prompt)
 	if r.s.Index {
 		x.Hints = r.hints(x.Chain)
 	}
@@ -179,9 +179,9 @@
 	c.flush, _ = w.(http.Flusher)
 	// Nothing is written before the ticket is taken in and its first frame is out.
 	c.mu.Lock()
-	var no *desk.Refusal
-	r.step(func(now int64) []desk.Act {
-		var acts []desk.Act
+	var no *dispatch.Refusal
+	r.step(func(now int64) []dispatch.Act {
+		var acts []dispatch.Act
 		r.calls[c.ref] = c
 		if acts, no = r.desk.Arrive(now, x); no != nil {
 			delete(r.calls, c.ref)
@@ -203,15 +203,15 @@
 }
 
 // hints lists the nearest holders of the longest parts, longest first.
-func (r *remisier) hints(ks []cue.Key) []cue.Hint {
-	var hs []cue.Hint
+func (r *remisier) hints(ks []hint.Key) []hint.Hint {
+	var hs []hint.Hint
 	for i := len(ks) - 1; i >= 0 && len(hs) < 4; i-- {
 		n, ok := r.table.Get(ks[i])
 		for _, h := range hs {
 			ok = ok && h.Node != n
 		}
 		if ok {
-			hs = append(hs, cue.Hint{Part: i, Node: n})
+			hs = append(hs, hint.Hint{Part: i, Node: n})
 		}
 	}
 	return hs
@@ -259,21 +259,21 @@
 	select {
 	case <-c.done:
 	case <-q.Context().Done():
-		r.step(func(now int64) []desk.Act { return r.desk.Stop(now, c.ref, "caller-gone") })
+		r.step(func(now int64) []dispatch.Act { return r.desk.Stop(now, c.ref, "caller-gone") })
 		<-c.done
 	}
 	e := c.end
 	last := callerapi.Frame{Frame: string(e.Outcome), Ticket: id}
-	if e.Outcome != blotter.Done {
+	if e.Outcome != attempt.Done {
 		last.Reason, last.Remedy, last.RetryAfterUS = e.Reason, callerapi.Remedy(e.Reason), e.Back
 	}
 	c.put(last, true)
 }
 
 // attempt sends one attempt to an engine and notes how far it comes.
-func (r *remisier) attempt(ctx context.Context, c *call, a desk.Act) {
-	note := func(s blotter.State, cause string) {
-		r.step(func(now int64) []desk.Act { return r.desk.Note(now, a.Ref, a.Attempt, s, cause) })
+func (r *remisier) attempt(ctx context.Context, c *call, a dispatch.Act) {
+	note := func(s attempt.State, cause string) {
+		r.step(func(now int64) []dispatch.Act { return r.desk.Note(now, a.Ref, a.Attempt, s, cause) })
 	}
 	body := engineapi.Run{Attempt: a.Attempt, Ticket: a.ID, Group: a.Group, Kind: a.Kind, Domain: a.Domain, Weights: a.Weights,
 		Epoch: a.Order.Epoch, Inc: a.Order.ID, Prompt: a.Prompt, Parts: engineapi.Parts(a.Chain), DueUS: a.Due - clock.Now()}
@@ -282,7 +282,7 @@
 	}
 	b, err := json.Marshal(body)
 	if err != nil {
-		note(blotter.NeverBegan, "unencodable")
+		note(attempt.NeverBegan, "unencodable")
 		return
 	}
 	var wired atomic.Bool // from here on bytes may have gone out
@@ -290,21 +290,21 @@
 	// A reader that can't be rewound keeps the library from sending twice.
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Order.Addr+"/v1/run", io.NopCloser(bytes.NewReader(b)))
 	if err != nil {
-		note(blotter.NeverBegan, "bad-address")
+		note(attempt.NeverBegan, "bad-address")
 		return
 	}
 	q.ContentLength = int64(len(b))
 	q.Header.Set("Content-Type", "application/json")
 	if clock.Now() > a.Until {
-		note(blotter.NeverBegan, "woke-late")
+		note(attempt.NeverBegan, "woke-late")
 		return
 	}
 	s, err := r.engine.Do(q)
 	if err != nil {
 		if !wired.Load() {
-			note(blotter.NeverBegan, "unreachable")
+			note(attempt.NeverBegan, "unreachable")
 		} else {
-			note(blotter.Broken, "engine-lost")
+			note(attempt.Broken, "engine-lost")
 		}
 		return
 	}
@@ -313,22 +313,22 @@
 		x, _ := io.ReadAll(io.LimitReader(s.Body, 4096))
 		var no engineapi.Refusal
 		if json.Unmarshal(x, &no) == nil && no.Refused != "" {
-			note(blotter.NeverBegan, no.Refused)
+			note(attempt.NeverBegan, no.Refused)
 		} else {
-			note(blotter.Broken, "engine-error-"+strconv.Itoa(s.StatusCode))
+			note(attempt.Broken, "engine-error-"+strconv.Itoa(s.StatusCode))
 		}
 		return
 	}
 	cause := r.relay(c, a, s.Body, note)
 	if cause == "" {
-		note(blotter.Finished, "")
+		note(attempt.Finished, "")
 	} else {
-		note(blotter.Broken, cause)
+		note(attempt.Broken, cause)
 	}
 }
 
 // relay passes a run's pieces on; "" means that it was whole.
-func (r *remisier) relay(c *call, a desk.Act, body io.Reader, note func(blotter.State, string)) string {
+func (r *remisier) relay(c *call, a dispatch.Act, body io.Reader, note func(attempt.State, string)) string {
 	sc := bufio.NewScanner(body)
 	sc.Buffer(make([]byte, 0, 4096), maxLine)
 	began, n := false, 0
@@ -343,7 +343,7 @@
 		switch {
 		case l.Began && !began && l.Piece == nil && !l.Done:
 			began = true
-			note(blotter.Began, "")
+			note(attempt.Began, "")
 		case !began || l.Began:
 			return "engine-malformed"
 		case l.Piece != nil && !l.Done:
@@ -444,9 +444,9 @@
 
 func (r *remisier) claimPlain(ctx context.Context, era uint64, group, id string) string {
 	done := make(chan string, 1)
-	a := desk.Act{Claim: desk.ClaimKey(era, group, "plain:"+id), Nonce: fmt.Sprintf("%s/%x/p%d", r.s.Name, r.inc, r.refs.Add(1))}
-	r.d.Crew.Go("claim.plain", func(ctx context.Context) { done <- r.claimWord(ctx, a) })
-	s, ok := crew.Wait(ctx, done)
+	a := dispatch.Act{Claim: dispatch.ClaimKey(era, group, "plain:"+id), Nonce: fmt.Sprintf("%s/%x/p%d", r.s.Name, r.inc, r.refs.Add(1))}
+	r.d.Group.Go("claim.plain", func(ctx context.Context) { done <- r.claimWord(ctx, a) })
+	s, ok := taskgroup.Wait(ctx, done)
 	if !ok {
 		return "claim-unavailable"
 	}
--- a/internal/app/remisier/remisier.go
+++ b/internal/app/gateway/gateway.go
@@ -1,6 +1,6 @@
-// Package remisier is the proxy: callers' tickets come in over HTTP and run on
+// Package gateway is the proxy: callers' tickets come in over HTTP and run on
 // the engines that the desk chooses.
-package remisier
+package gateway
 
 import (
 	"context"
@@ -15,17 +15,17 @@
 
 	"github.com/gravitational/trace"
 
-	"violetthread/blotter"
-	"violetthread/cue"
-	"violetthread/desk"
+	"violetthread/attempt"
+	"violetthread/dispatch"
+	"violetthread/hint"
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
 	"violetthread/internal/wire"
 	"violetthread/plan"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 	"violetthread/tape"
 	"violetthread/tape/reel"
 )
@@ -49,7 +49,7 @@
 	d      *base.Daemon
 	inc    uint64
 	agent  *link.Peer
-	table  *cue.Table
+	table  *hint.Table
 	engine *http.Client
 	// plan is swapped whole; tickets read it without a lock.
 	plan   atomic.Pointer[plan.Held]
@@ -61,7 +61,7 @@
 	plain  atomic.Int64 // plain calls under way
 	newsAt wire.Cursor
 	claims lats
-	spare  blotter.Budget // for calls to app back ends; under mu
+	spare  attempt.Budget // for calls to app back ends; under mu
 }
 
 // lats sums how long something took.
@@ -91,9 +91,9 @@
 	if _, err := rand.Read(b[:]); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	r := &remisier{s: s, d: d, inc: binary.LittleEndian.Uint64(b[:])>>24 | 1, table: cue.NewTable(s.Hints), calls: map[uint64]*call{}}
+	r := &remisier{s: s, d: d, inc: binary.LittleEndian.Uint64(b[:])>>24 | 1, table: hint.NewTable(s.Hints), calls: map[uint64]*call{}}
 	r.plan.Store(&plan.Held{})
-	r.desk = &reel.Desk{Desk: desk.New(s.Name, s.Site, r.inc)}
+	r.desk = &reel.Desk{Desk: dispatch.New(s.Name, s.Site, r.inc)}
 	if s.Tape != "" {
 		w, err := tape.Create(s.Tape, tape.Head{Part: "desk", Name: s.Name, Site: s.Site, Inc: r.inc}, s.TapeBytes)
 		if err != nil {
@@ -103,7 +103,7 @@
 		r.desk.W = w
 		d.OnStop(func() { _ = w.Close() })
 	}
-	r.agent = link.NewBook(d.Crew).At(s.Runner)
+	r.agent = link.NewBook(d.Group).At(s.Runner)
 	// No connection is used twice: a broken idle one would leave it open
 	// whether an attempt began (design §6).
 	dial := &net.Dialer{Timeout: 400 * time.Millisecond}
@@ -112,10 +112,10 @@
 	d.Handle("/v1/tickets", r.ticketHTTP)
 	d.Handle("/v1/era", r.eraHTTP)
 	d.HandlePrefix("/", r.entryHTTP)
-	d.Crew.Go("feed", func(ctx context.Context) { crew.Every(ctx, clock.Micros(100_000), r.feed) })
-	d.Crew.Go("tick", func(ctx context.Context) {
-		crew.Every(ctx, clock.Micros(desk.TickEvery), func(context.Context) {
-			r.step(func(now int64) []desk.Act { return r.desk.Tick(now) })
+	d.Group.Go("feed", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(100_000), r.feed) })
+	d.Group.Go("tick", func(ctx context.Context) {
+		taskgroup.Every(ctx, clock.Micros(dispatch.TickEvery), func(context.Context) {
+			r.step(func(now int64) []dispatch.Act { return r.desk.Tick(now) })
 		})
 	})
 	r.vitals()
@@ -124,7 +124,7 @@
 }
 
 // step runs the desk and carries its acts out.
-func (r *remisier) step(f func(now int64) []desk.Act) {
+func (r *remisier) step(f func(now int64) []dispatch.Act) {
 	r.mu.Lock()
 	acts := f(clock.Now())
 	r.carry(acts)
@@ -154,7 +154,7 @@
 	age := r.desk.PlanAge(now)
 	r.mu.Unlock()
 	switch {
-	case age > desk.PlanLimit:
+	case age > dispatch.PlanLimit:
 		r.d.SetReady("no plan is known to be in force; check the runner beside this proxy and the registrars")
 	case r.era.Load() == 0:
 		r.d.SetReady("no era of claims is known; check the runner beside this proxy and the registrars")
@@ -176,8 +176,8 @@
 	}
 	// Ages count from the question: the answer may have been long on its way.
 	os := wire.Orders(t.Orders, clock.Now()-at)
-	r.step(func(now int64) []desk.Act {
-		var acts []desk.Act
+	r.step(func(now int64) []dispatch.Act {
+		var acts []dispatch.Act
 		if n.Plan != nil {
 			acts = r.desk.Plan(now, &n)
 		}
@@ -191,29 +191,29 @@
 
 // carry hands the desk's acts to those who do them. The lock is held, so that
 // nothing here may wait.
-func (r *remisier) carry(acts []desk.Act) {
+func (r *remisier) carry(acts []dispatch.Act) {
 	for _, a := range acts {
 		c := r.calls[a.Ref]
 		switch a.Do {
-		case desk.DoClaim:
-			r.d.Crew.Go("claim", func(ctx context.Context) { r.claim(ctx, a) })
-		case desk.DoRelease:
-			r.d.Crew.Go("release", func(ctx context.Context) { r.unclaim(ctx, a) })
-		case desk.DoStart:
+		case dispatch.DoClaim:
+			r.d.Group.Go("claim", func(ctx context.Context) { r.claim(ctx, a) })
+		case dispatch.DoRelease:
+			r.d.Group.Go("release", func(ctx context.Context) { r.unclaim(ctx, a) })
+		case dispatch.DoStart:
 			if c == nil {
 				continue
 			}
-			ctx, cut := context.WithCancel(r.d.Crew.Context())
+			ctx, cut := context.WithCancel(r.d.Group.Context())
 			c.cuts[a.Attempt] = cut
-			r.d.Crew.Go("attempt", func(context.Context) {
+			r.d.Group.Go("attempt", func(context.Context) {
 				defer cut()
 				r.attempt(ctx, c, a)
 			})
-		case desk.DoCancel:
+		case dispatch.DoCancel:
 			if c != nil && c.cuts[a.Attempt] != nil {
 				c.cuts[a.Attempt]()
 			}
-		case desk.DoEnd:
+		case dispatch.DoEnd:
 			if c != nil {
 				c.end = a
 				close(c.done)
@@ -223,32 +223,32 @@
 	}
 }
 
-func (r *remisier) claim(ctx context.Context, a desk.Act) {
-	s := map[string]blotter.Claim{"": blotter.Held, "duplicate": blotter.Taken, "era-closed": blotter.Closed, "claim-unavailable": blotter.Doubtful}[r.claimWord(ctx, a)]
-	r.step(func(now int64) []desk.Act { return r.desk.Claimed(now, a.Ref, s) })
+func (r *remisier) claim(ctx context.Context, a dispatch.Act) {
+	s := map[string]attempt.Claim{"": attempt.Held, "duplicate": attempt.Taken, "era-closed": attempt.Closed, "claim-unavailable": attempt.Doubtful}[r.claimWord(ctx, a)]
+	r.step(func(now int64) []dispatch.Act { return r.desk.Claimed(now, a.Ref, s) })
 }
 
 // claimWord asks for a claim; "" means it is held.
-func (r *remisier) claimWord(ctx context.Context, a desk.Act) string {
+func (r *remisier) claimWord(ctx context.Context, a dispatch.Act) string {
 	at := clock.Now()
-	f, err := r.agent.Call(ctx, &fb.FrameT{OpAsk: &fb.OpAskT{Kind: byte(settle.OpClaim), Key: a.Claim, Val: []byte(a.Nonce)}}, 2_000_000)
+	f, err := r.agent.Call(ctx, &fb.FrameT{OpAsk: &fb.OpAskT{Kind: byte(quorum.OpClaim), Key: a.Claim, Val: []byte(a.Nonce)}}, 2_000_000)
 	if err != nil || f.OpTell == nil {
 		return "claim-unavailable"
 	}
-	switch settle.Status(f.OpTell.Status) {
-	case settle.Done:
+	switch quorum.Status(f.OpTell.Status) {
+	case quorum.Done:
 		r.claims.add(clock.Now() - at)
 		return ""
-	case settle.Conflict:
+	case quorum.Conflict:
 		return "duplicate"
-	case settle.Closed:
+	case quorum.Closed:
 		return "era-closed"
 	}
 	return "claim-unavailable"
 }
 
-func (r *remisier) unclaim(ctx context.Context, a desk.Act) {
-	_, err := r.agent.Call(ctx, &fb.FrameT{OpAsk: &fb.OpAskT{Kind: byte(settle.OpUnclaim), Key: a.Claim, Val: []byte(a.Nonce)}}, 2_000_000)
+func (r *remisier) unclaim(ctx context.Context, a dispatch.Act) {
+	_, err := r.agent.Call(ctx, &fb.FrameT{OpAsk: &fb.OpAskT{Kind: byte(quorum.OpUnclaim), Key: a.Claim, Val: []byte(a.Nonce)}}, 2_000_000)
 	if err != nil {
 		// The claim stays; a resend of this ticket will not run.
 		r.d.Log.Info("claim_kept", "group", a.Group, "ticket", a.ID, "cause", err.Error())
@@ -258,7 +258,7 @@
 // drain lets running tickets finish, then ends the rest explicitly.
 func (r *remisier) drain(ctx context.Context) {
 	for r.load() > 0 {
-		if !crew.Pause(ctx, 20_000) {
+		if !taskgroup.Pause(ctx, 20_000) {
 			break
 		}
 	}
@@ -276,22 +276,22 @@
 }
 
 func (r *remisier) vitals() {
-	n := func(name, help string, f func(c desk.Counts) uint64) {
+	n := func(name, help string, f func(c dispatch.Counts) uint64) {
 		r.d.Counter(name, help, func() float64 {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			return float64(f(r.desk.Counts))
 		})
 	}
-	n("tickets_total", "tickets that passed the checks at the door", func(c desk.Counts) uint64 { return c.Arrived })
-	n("done_total", "tickets done", func(c desk.Counts) uint64 { return c.Done })
-	n("refused_total", "tickets refused after they were taken in", func(c desk.Counts) uint64 { return c.Refused })
-	n("unknown_total", "tickets that ended unknown", func(c desk.Counts) uint64 { return c.Unknown })
-	n("attempts_total", "attempts sent to engines", func(c desk.Counts) uint64 { return c.Attempts })
-	n("retries_total", "attempts after a ticket's first", func(c desk.Counts) uint64 { return c.Retries })
-	n("takes_total", "attempts told to take a part from a peer", func(c desk.Counts) uint64 { return c.Takes })
-	n("own_total", "attempts sent where a part already is", func(c desk.Counts) uint64 { return c.Own })
-	n("claims_total", "claims asked for", func(c desk.Counts) uint64 { return c.Claims })
+	n("tickets_total", "tickets that passed the checks at the door", func(c dispatch.Counts) uint64 { return c.Arrived })
+	n("done_total", "tickets done", func(c dispatch.Counts) uint64 { return c.Done })
+	n("refused_total", "tickets refused after they were taken in", func(c dispatch.Counts) uint64 { return c.Refused })
+	n("unknown_total", "tickets that ended unknown", func(c dispatch.Counts) uint64 { return c.Unknown })
+	n("attempts_total", "attempts sent to engines", func(c dispatch.Counts) uint64 { return c.Attempts })
+	n("retries_total", "attempts after a ticket's first", func(c dispatch.Counts) uint64 { return c.Retries })
+	n("takes_total", "attempts told to take a part from a peer", func(c dispatch.Counts) uint64 { return c.Takes })
+	n("own_total", "attempts sent where a part already is", func(c dispatch.Counts) uint64 { return c.Own })
+	n("claims_total", "claims asked for", func(c dispatch.Counts) uint64 { return c.Claims })
 	r.d.Counter("claim_us_total", "time spent on claims granted", func() float64 { return float64(r.claims.us.Load()) })
 	r.d.Counter("claims_granted_total", "claims granted", func() float64 { return float64(r.claims.n.Load()) })
 	r.d.Gauge("hints", "entries used in the hint table", func() float64 { return float64(r.table.Len()) })
--- a/internal/app/custodian/custodian.go
+++ b/internal/app/indexnode/indexnode.go
@@ -1,5 +1,5 @@
-// Package custodian is an index node and engine owner on a core machine.
-package custodian
+// Package indexnode is an index node and engine owner on a core machine.
+package indexnode
 
 import (
 	"context"
@@ -15,17 +15,17 @@
 	"github.com/gravitational/trace"
 	"github.com/samber/lo"
 
-	"violetthread/cue"
-	"violetthread/custody"
+	"violetthread/hint"
+	"violetthread/index"
 	"violetthread/internal/app/session"
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/engineapi"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
 	"violetthread/internal/wire"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 	"violetthread/tape"
 	"violetthread/tape/reel"
 )
@@ -53,7 +53,7 @@
 	mu     sync.Mutex
 	k      *reel.Keeper
 	busy   map[string]bool
-	pushAt map[string]custody.Cursor
+	pushAt map[string]index.Cursor
 }
 
 // Run runs a custodian until it is told to stop.
@@ -78,10 +78,10 @@
 	if _, err := rand.Read(b[:]); err != nil {
 		return nil, err
 	}
-	c := &custodian{s: s, d: d, book: link.NewBook(d.Crew), inc: binary.LittleEndian.Uint64(b[:])>>24 | 1,
-		http: engineapi.NewClient(), busy: map[string]bool{}, pushAt: map[string]custody.Cursor{}}
+	c := &custodian{s: s, d: d, book: link.NewBook(d.Group), inc: binary.LittleEndian.Uint64(b[:])>>24 | 1,
+		http: engineapi.NewClient(), busy: map[string]bool{}, pushAt: map[string]index.Cursor{}}
 	c.holder = fmt.Sprintf("%s#%x", s.Name, c.inc)
-	c.k = &reel.Keeper{Keeper: custody.New(s.Name, s.Site, c.inc)}
+	c.k = &reel.Keeper{Keeper: index.New(s.Name, s.Site, c.inc)}
 	if s.Tape != "" {
 		w, err := tape.Create(s.Tape, tape.Head{Part: "keeper", Name: s.Name, Site: s.Site, Inc: c.inc}, s.TapeBytes)
 		if err != nil {
@@ -91,17 +91,17 @@
 		c.k.W = w
 		d.OnStop(func() { _ = w.Close() })
 	}
-	c.ses = session.New(d.Crew, c.book, s.Seeds, c.self)
+	c.ses = session.New(d.Group, c.book, s.Seeds, c.self)
 	l, err := net.Listen("tcp", s.Wire)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't listen on %s; give --wire a free IP:port of this machine", s.Wire)
 	}
-	link.Serve(d.Crew, l, c.handle)
+	link.Serve(d.Group, l, c.handle)
 	c.ses.Run()
-	d.Crew.Go("list", func(ctx context.Context) { crew.Every(ctx, clock.Micros(200_000), c.list) })
-	d.Crew.Go("duties", func(ctx context.Context) { crew.Every(ctx, clock.Micros(100_000), c.duties) })
-	d.Crew.Go("engines", func(ctx context.Context) { crew.Every(ctx, clock.Micros(150_000), c.engines) })
-	d.Crew.Go("news", func(ctx context.Context) { crew.Every(ctx, clock.Micros(200_000), c.news) })
+	d.Group.Go("list", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(200_000), c.list) })
+	d.Group.Go("duties", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(100_000), c.duties) })
+	d.Group.Go("engines", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(150_000), c.engines) })
+	d.Group.Go("news", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(200_000), c.news) })
 	c.vitals()
 	d.OnDrain(c.leave)
 	d.SetReady("")
@@ -131,7 +131,7 @@
 	}
 	c.busy[name] = true
 	c.mu.Unlock()
-	c.d.Crew.Go(name, func(ctx context.Context) {
+	c.d.Group.Go(name, func(ctx context.Context) {
 		defer func() {
 			c.mu.Lock()
 			delete(c.busy, name)
@@ -148,10 +148,10 @@
 	at := clock.Now()
 	var l engineapi.Listing
 	err := c.http.Get(ctx, c.s.Platform, "/v1/engines", 600_000, &l)
-	var last []custody.Listed
+	var last []index.Listed
 	if err == nil {
-		last = lo.Map(l.Engines, func(x engineapi.Listed, _ int) custody.Listed {
-			return custody.Listed{Name: x.Name, Addr: x.Addr, Site: x.Site, Store: x.Kind == "store", Leaving: x.Leaving}
+		last = lo.Map(l.Engines, func(x engineapi.Listed, _ int) index.Listed {
+			return index.Listed{Name: x.Name, Addr: x.Addr, Site: x.Site, Store: x.Kind == "store", Leaving: x.Leaving}
 		})
 	}
 	c.with(func(now int64, k *reel.Keeper) {
@@ -170,7 +170,7 @@
 		return
 	}
 	v := c.ses.View()
-	var as []custody.DutyAsk
+	var as []index.DutyAsk
 	c.with(func(now int64, k *reel.Keeper) {
 		if v.Plan != nil {
 			k.Plan(now, &v.Held)
@@ -183,23 +183,23 @@
 		as = k.Want(now)
 	})
 	for _, a := range as {
-		c.d.Crew.Go("duty", func(ctx context.Context) { c.hold(ctx, a) })
+		c.d.Group.Go("duty", func(ctx context.Context) { c.hold(ctx, a) })
 	}
 }
 
-func (c *custodian) hold(ctx context.Context, a custody.DutyAsk) {
-	kind := settle.OpHold
+func (c *custodian) hold(ctx context.Context, a index.DutyAsk) {
+	kind := quorum.OpHold
 	if a.Free {
-		kind = settle.OpFree
+		kind = quorum.OpFree
 	}
 	at := clock.Now()
-	t, err := c.ses.Op(ctx, &fb.OpAskT{Kind: byte(kind), Key: a.Key, Expect: a.Epoch, Holder: c.holder, Term: custody.DutyTerm}, 1_000_000)
+	t, err := c.ses.Op(ctx, &fb.OpAskT{Kind: byte(kind), Key: a.Key, Expect: a.Epoch, Holder: c.holder, Term: index.DutyTerm}, 1_000_000)
 	c.with(func(now int64, k *reel.Keeper) {
 		if err != nil {
 			k.Held(now, a, at, false, 0)
 			return
 		}
-		ok := settle.Status(t.Status) == settle.Done
+		ok := quorum.Status(t.Status) == quorum.Done
 		if ok && a.Epoch != t.Rev && !a.Free {
 			c.d.Log.Info("duty", "key", a.Key, "epoch", t.Rev)
 		}
@@ -212,12 +212,12 @@
 func (c *custodian) leave(ctx context.Context) {
 	c.with(func(now int64, k *reel.Keeper) { k.Peers(now, nil) })
 	for idle := false; !idle; {
-		var as []custody.DutyAsk
+		var as []index.DutyAsk
 		c.with(func(now int64, k *reel.Keeper) { as, idle = k.Want(now), k.Idle() })
 		for _, a := range as {
-			c.d.Crew.Go("duty.free", func(ctx context.Context) { c.hold(ctx, a) })
+			c.d.Group.Go("duty.free", func(ctx context.Context) { c.hold(ctx, a) })
 		}
-		if !idle && !crew.Pause(ctx, 50_000) {
+		if !idle && !taskgroup.Pause(ctx, 50_000) {
 			return
 		}
 	}
@@ -226,8 +226,8 @@
 // engines asks the engines owned here for their reports, and turns those with
 // other weights than the plan's.
 func (c *custodian) engines(context.Context) {
-	var ps []custody.Poll
-	var ts []custody.Turn
+	var ps []index.Poll
+	var ts []index.Turn
 	c.with(func(now int64, k *reel.Keeper) {
 		ps = k.Polls(now)
 		ts = k.Turns(now)
@@ -240,13 +240,13 @@
 	}
 }
 
-func (c *custodian) poll(ctx context.Context, p custody.Poll) {
+func (c *custodian) poll(ctx context.Context, p index.Poll) {
 	if p.Whole {
 		var w engineapi.Keeps
 		if err := c.http.Get(ctx, p.Addr, "/v1/keeps", 800_000, &w); err != nil {
 			return
 		}
-		parts := lo.FilterMap(w.Parts, func(s string, _ int) (cue.Key, bool) { return engineapi.Key(s) })
+		parts := lo.FilterMap(w.Parts, func(s string, _ int) (hint.Key, bool) { return engineapi.Key(s) })
 		c.with(func(now int64, k *reel.Keeper) { k.Whole(now, p.Engine, w.Inc, w.Seq, parts) })
 		p.Inc, p.After = w.Inc, w.Seq
 	}
@@ -255,9 +255,9 @@
 	if err := c.http.Get(ctx, p.Addr, fmt.Sprintf("/v1/report?inc=%d&after=%d", p.Inc, p.After), 800_000, &r); err != nil {
 		return
 	}
-	x := custody.Report{Inc: r.Inc, Weights: r.Weights, Running: r.Running, Queue: r.Queue, Room: r.Room, SlowUS: r.SlowUS, Last: r.Last}
+	x := index.Report{Inc: r.Inc, Weights: r.Weights, Running: r.Running, Queue: r.Queue, Room: r.Room, SlowUS: r.SlowUS, Last: r.Last}
 	for _, e := range r.Events {
-		v := custody.Event{Seq: e.Seq, Keep: e.Op == "keep", Drop: e.Op == "drop", Filled: e.Filled}
+		v := index.Event{Seq: e.Seq, Keep: e.Op == "keep", Drop: e.Op == "drop", Filled: e.Filled}
 		if e.Op == "ran" {
 			v.Ran = e.Attempt
 		}
@@ -267,11 +267,11 @@
 	c.with(func(now int64, k *reel.Keeper) { k.Reported(now, at, p.Engine, x) })
 }
 
-func (c *custodian) turn(ctx context.Context, t custody.Turn) {
+func (c *custodian) turn(ctx context.Context, t index.Turn) {
 	// Held still? The engine rejects a lower epoch, but it need not come to that.
 	ok := false
 	c.with(func(now int64, k *reel.Keeper) {
-		ep, held := k.Holds(now, custody.EngineDuty(t.Engine))
+		ep, held := k.Holds(now, index.EngineDuty(t.Engine))
 		ok = held && ep == t.Epoch
 	})
 	if !ok {
@@ -283,10 +283,10 @@
 
 // news follows the other index nodes' feeds.
 func (c *custodian) news(context.Context) {
-	var peers []custody.Custodian
+	var peers []index.Custodian
 	for _, n := range c.ses.View().Nodes {
 		if n.Role == "custodian" {
-			peers = append(peers, custody.Custodian{Name: n.Name, Addr: n.Addr, Duties: n.Duties})
+			peers = append(peers, index.Custodian{Name: n.Name, Addr: n.Addr, Duties: n.Duties})
 		}
 	}
 	for _, p := range peers {
@@ -294,7 +294,7 @@
 	}
 }
 
-func (c *custodian) ask(ctx context.Context, p custody.Custodian, q *fb.NewsAskT) (*fb.NewsTellT, bool) {
+func (c *custodian) ask(ctx context.Context, p index.Custodian, q *fb.NewsAskT) (*fb.NewsTellT, bool) {
 	q.From = c.s.Name
 	if p.Name == c.s.Name {
 		return c.tellNews(q), true
@@ -306,9 +306,9 @@
 	return f.NewsTell, true
 }
 
-func (c *custodian) follow(ctx context.Context, p custody.Custodian) {
+func (c *custodian) follow(ctx context.Context, p index.Custodian) {
 	var mine []uint16
-	var cur custody.Cursor
+	var cur index.Cursor
 	var sites, pushes []string
 	c.with(func(now int64, k *reel.Keeper) {
 		mine, cur, sites, pushes = k.MyShards(now), k.HoldsCursor(p.Name), k.MySites(), k.PushSites(now)
@@ -322,10 +322,10 @@
 		c.spawn("push."+p.Name+s, func(ctx context.Context) { c.push(ctx, p, s) })
 	}
 	for _, s := range sites {
-		var sc custody.Cursor
+		var sc index.Cursor
 		c.with(func(_ int64, k *reel.Keeper) { sc = *k.SiteCursor(s, p.Name) })
 		if t, ok := c.ask(ctx, p, &fb.NewsAskT{Kind: wire.SiteFeed, Site: s, Inc: sc.Inc, Since: sc.Next}); ok {
-			c.with(func(_ int64, k *reel.Keeper) { k.SiteNews(s, p.Name, custody.ShardsOf(p), wire.Batch(t)) })
+			c.with(func(_ int64, k *reel.Keeper) { k.SiteNews(s, p.Name, index.ShardsOf(p), wire.Batch(t)) })
 		}
 	}
 }
@@ -337,7 +337,7 @@
 
 // push follows a shard owner's pushes for a site and orders what falls to the
 // engines owned here. A push that fails is left at that.
-func (c *custodian) push(ctx context.Context, p custody.Custodian, site string) {
+func (c *custodian) push(ctx context.Context, p index.Custodian, site string) {
 	c.mu.Lock()
 	cur := c.pushAt[site+"|"+p.Name]
 	c.mu.Unlock()
@@ -345,9 +345,9 @@
 	if !ok {
 		return
 	}
-	var ps []custody.Push
+	var ps []index.Push
 	c.with(func(now int64, k *reel.Keeper) {
-		c.pushAt[site+"|"+p.Name] = custody.Cursor{Inc: t.Inc, Next: t.Next}
+		c.pushAt[site+"|"+p.Name] = index.Cursor{Inc: t.Inc, Next: t.Next}
 		ps = k.Pushes(now, site, wire.Batch(t), wire.Places(t))
 	})
 	for _, x := range ps {
@@ -387,7 +387,7 @@
 	g("news_changes", "changes to what is kept, at shards held here", func(_ int64, k *reel.Keeper) float64 { return float64(k.Directory().Changes) })
 	g("news_sent", "pieces of hint news queued for followers", func(_ int64, k *reel.Keeper) float64 { return float64(k.NewsSent()) })
 	c.d.Handle("/v1/engines", func(w http.ResponseWriter, _ *http.Request) {
-		var es []custody.Engine
+		var es []index.Engine
 		c.with(func(now int64, k *reel.Keeper) { es = k.Engines(now) })
 		base.JSON(w, 200, es)
 	})
--- a/internal/app/carrier/follow.go
+++ b/internal/app/proxy/follow.go
@@ -1,13 +1,13 @@
-package carrier
+package proxy
 
 import (
 	"context"
 	"slices"
 	"sort"
 
-	"violetthread/cue"
+	"violetthread/hint"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
+	"violetthread/internal/taskgroup"
 	"violetthread/placement"
 	"violetthread/route"
 	"violetthread/schema/fb"
@@ -77,7 +77,7 @@
 		f.fars[a] = &far{}
 	}
 	for ctx.Err() == nil {
-		if !f.ask(ctx) && !crew.Pause(ctx, 30_000) {
+		if !f.ask(ctx) && !taskgroup.Pause(ctx, 30_000) {
 			return
 		}
 	}
@@ -235,8 +235,8 @@
 		h.Clear()
 	}
 	for _, n := range t.News {
-		k := cue.Key{Hi: n.Hi, Lo: n.Lo, Check: n.Check}
-		if cue.Op(n.Op) == cue.Load {
+		k := hint.Key{Hi: n.Hi, Lo: n.Lo, Check: n.Check}
+		if hint.Op(n.Op) == hint.Load {
 			h.Put(k, n.Node)
 		} else {
 			h.Drop(k, n.Node)
--- a/internal/app/carrier/pass.go
+++ b/internal/app/proxy/pass.go
@@ -1,4 +1,4 @@
-package carrier
+package proxy
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"violetthread/blotter"
+	"violetthread/attempt"
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
 	"violetthread/placement"
@@ -30,7 +30,7 @@
 	table  *route.Table
 	body   []byte
 	due    int64
-	led    blotter.Passage
+	led    attempt.Passage
 	req    placement.Request
 	last   string // id of the last event that went out
 }
@@ -156,7 +156,7 @@
 		wait = 30_000_000
 	}
 	p.due = arrived + wait
-	p.led = blotter.Passage{Again: p.rt.Kind == route.Repeatable || p.rt.Kind == route.Stream && p.rt.Resumable,
+	p.led = attempt.Passage{Again: p.rt.Kind == route.Repeatable || p.rt.Kind == route.Stream && p.rt.Resumable,
 		Resume: p.rt.Kind == route.Stream && p.rt.Resumable, Most: max(1, p.rt.Attempts)}
 	p.last = ask.After
 	p.req = placement.Request{Pool: poolOf(p.rt, ask.Attempt), Model: ask.Model, Parts: ask.Parts, Tokens: ask.Tokens, Out: ask.Out, Tried: map[string]bool{}}
@@ -199,22 +199,22 @@
 	for {
 		now := clock.Now()
 		c.mu.Lock()
-		f := blotter.Facts{Time: now < p.due-5_000, Budget: c.budget(p.req.Pool).Has(now)}
+		f := attempt.Facts{Time: now < p.due-5_000, Budget: c.budget(p.req.Pool).Has(now)}
 		c.mu.Unlock()
 		m := p.led.Next(f)
 		switch m.Do {
-		case blotter.PassPlace:
+		case attempt.PassPlace:
 			if !p.place(now, m.Retry) {
 				p.refuse("no-engine")
 				return
 			}
-		case blotter.PassDone:
+		case attempt.PassDone:
 			c.counts.done.Add(1)
 			return
-		case blotter.PassRefuse:
+		case attempt.PassRefuse:
 			p.refuse(m.Reason)
 			return
-		case blotter.PassLost:
+		case attempt.PassLost:
 			c.counts.lost.Add(1)
 			if p.q.Context().Err() != nil {
 				panic(http.ErrAbortHandler) // nobody is there to read it
@@ -235,7 +235,7 @@
 // refuse promises that the request has not run and will not.
 func (p *passage) refuse(reason string) {
 	for _, a := range p.led.Attempts {
-		if a.State == blotter.Broken {
+		if a.State == attempt.Broken {
 			p.c.counts.lost.Add(1)
 			if p.led.Out {
 				panic(http.ErrAbortHandler)
@@ -270,26 +270,26 @@
 	}
 	p.req.Tried[ch.Engine.ID] = true
 	id := strconv.Itoa(len(p.led.Attempts))
-	p.led.Attempts = append(p.led.Attempts, blotter.Attempt{ID: id, Engine: ch.Engine.ID, State: blotter.Sent})
+	p.led.Attempts = append(p.led.Attempts, attempt.Attempt{ID: id, Engine: ch.Engine.ID, State: attempt.Sent})
 	t := &try{p: p, ch: &ch, id: id}
 	s, cause := t.run()
 	c.mu.Lock()
 	c.pick.Ended(&ch, t.began)
 	switch {
-	case s == blotter.NeverBegan && cause == "skipped":
+	case s == attempt.NeverBegan && cause == "skipped":
 		c.counts.skipped.Add(1)
 		c.pick.Rest(now, ch.Engine.ID, fullRest, false)
-	case s == blotter.NeverBegan && cause == "other":
+	case s == attempt.NeverBegan && cause == "other":
 		c.counts.skipped.Add(1)
 		c.pick.Rest(now, ch.Engine.ID, otherRest, false)
-	case s == blotter.NeverBegan && cause == blotter.Unreachable:
+	case s == attempt.NeverBegan && cause == attempt.Unreachable:
 		c.pick.Rest(clock.Now(), ch.Engine.ID, lostRest, true)
-	case s == blotter.Broken && cause != "caller-gone" && cause != "due-passed":
+	case s == attempt.Broken && cause != "caller-gone" && cause != "due-passed":
 		c.counts.broken.Add(1)
 		c.pick.Rest(clock.Now(), ch.Engine.ID, lostRest, true)
 	}
 	c.mu.Unlock()
-	if p.q.Context().Err() != nil && s != blotter.Finished {
+	if p.q.Context().Err() != nil && s != attempt.Finished {
 		p.led.Stop = "caller-gone"
 	}
 	p.led.Note(id, s, cause)
@@ -306,7 +306,7 @@
 }
 
 // run sends the request and relays the answer as far as it comes.
-func (t *try) run() (blotter.State, string) {
+func (t *try) run() (attempt.State, string) {
 	p, c, e := t.p, t.p.c, t.ch.Engine
 	c.counts.read.Add(int64(t.ch.Read))
 	c.counts.moved.Add(int64(t.ch.Moved))
@@ -316,7 +316,7 @@
 	if t.wire == nil {
 		w, err := c.pool.dial(ctx, e.Addr)
 		if err != nil {
-			return blotter.NeverBegan, blotter.Unreachable
+			return attempt.NeverBegan, attempt.Unreachable
 		}
 		t.wire = w
 	}
@@ -331,7 +331,7 @@
 	// Looked at again at the moment of dispatch: the machine may have slept.
 	now := clock.Now()
 	if c.view.Load().age(now) > c.stale() || now >= p.due {
-		return blotter.NeverBegan, blotter.Unreachable
+		return attempt.NeverBegan, attempt.Unreachable
 	}
 	_ = t.wire.SetDeadline(time.Now().Add(clock.Micros(p.due + lateAnswer - now)))
 	c.counts.sends.Add(1)
@@ -354,9 +354,9 @@
 			c.pool.put(e.ID, t.wire, r.Header)
 		}
 		if r.StatusCode == http.StatusMisdirectedRequest {
-			return blotter.NeverBegan, "other"
+			return attempt.NeverBegan, "other"
 		}
-		return blotter.NeverBegan, "skipped"
+		return attempt.NeverBegan, "skipped"
 	}
 	switch {
 	case r.StatusCode < 300 && (!word.Sealed || r.Header.Get("Content-Encoding") != ""):
@@ -368,7 +368,7 @@
 		return t.broken("engine-failed")
 	}
 	s, cause = t.relay(r)
-	if s == blotter.Finished {
+	if s == attempt.Finished {
 		whole = !r.Close && stop()
 		if whole {
 			c.pool.put(e.ID, t.wire, r.Header)
@@ -381,14 +381,14 @@
 var promise = map[int]bool{http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
 
 // broken is the state of an attempt that was sent and lost.
-func (t *try) broken(cause string) (blotter.State, string) {
+func (t *try) broken(cause string) (attempt.State, string) {
 	switch {
 	case t.p.q.Context().Err() != nil:
 		cause = "caller-gone"
 	case clock.Now() >= t.p.due:
 		cause = "due-passed"
 	}
-	return blotter.Broken, cause
+	return attempt.Broken, cause
 }
 
 // message is the request as the engine gets it: method, path, query and body are the
@@ -424,7 +424,7 @@
 
 // answer reads the head of the answer to this very attempt. An answer to a former one
 // may come in its place, on a connection that was used before.
-func (t *try) answer() (*http.Response, Word, blotter.State, string) {
+func (t *try) answer() (*http.Response, Word, attempt.State, string) {
 	for n := 0; ; n++ {
 		r, err := http.ReadResponse(t.wire.br, t.p.q)
 		if err != nil {
@@ -452,7 +452,7 @@
 
 // relay passes an answer on. Its head goes out with the first whole event, so that an
 // answer that breaks before it can still come from elsewhere.
-func (t *try) relay(r *http.Response) (blotter.State, string) {
+func (t *try) relay(r *http.Response) (attempt.State, string) {
 	p := t.p
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.StatusCode == http.StatusNoContent
 	if !framed || p.led.Out && r.StatusCode != http.StatusOK {
@@ -497,7 +497,7 @@
 				t.first()
 				t.head(r)
 			}
-			return blotter.Finished, ""
+			return attempt.Finished, ""
 		}
 	}
 }
@@ -563,7 +563,7 @@
 const plainWhole = 256 << 10
 
 // plain passes an answer on that is no stream.
-func (t *try) plain(r *http.Response) (blotter.State, string) {
+func (t *try) plain(r *http.Response) (attempt.State, string) {
 	p := t.p
 	var b bytes.Buffer
 	_, err := io.Copy(&b, io.LimitReader(r.Body, plainWhole))
@@ -574,12 +574,12 @@
 	if r.StatusCode >= 500 && p.led.Again && clock.Now() < p.due {
 		// It ran there and failed; it may run again elsewhere, if that is allowed at all.
 		l := p.led
-		l.Attempts = append([]blotter.Attempt(nil), l.Attempts...)
-		l.Note(t.id, blotter.Broken, "engine-failed")
+		l.Attempts = append([]attempt.Attempt(nil), l.Attempts...)
+		l.Note(t.id, attempt.Broken, "engine-failed")
 		p.c.mu.Lock()
-		f := blotter.Facts{Time: true, Budget: p.c.budget(p.req.Pool).Has(clock.Now())}
+		f := attempt.Facts{Time: true, Budget: p.c.budget(p.req.Pool).Has(clock.Now())}
 		p.c.mu.Unlock()
-		if l.Next(f).Do == blotter.PassPlace {
+		if l.Next(f).Do == attempt.PassPlace {
 			return t.broken("engine-failed")
 		}
 	}
@@ -593,7 +593,7 @@
 			return t.broken("engine-lost")
 		}
 	}
-	return blotter.Finished, ""
+	return attempt.Finished, ""
 }
 
 func (t *try) headPlain(r *http.Response, n int, rest bool) {
--- a/internal/app/carrier/port.go
+++ b/internal/app/proxy/port.go
@@ -1,7 +1,7 @@
-// Package carrier is the proxy that passes callers' requests through to engines
+// Package proxy is the proxy that passes callers' requests through to engines
 // unopened: it takes a request whole, places it, relays the answer as it arrives and
 // sees to it that what may run once only does so (design §12, §14).
-package carrier
+package proxy
 
 import (
 	"net/http"
--- a/internal/app/carrier/carrier.go
+++ b/internal/app/proxy/proxy.go
@@ -1,4 +1,4 @@
-package carrier
+package proxy
 
 import (
 	"context"
@@ -16,12 +16,12 @@
 
 	"github.com/gravitational/trace"
 
-	"violetthread/blotter"
-	"violetthread/cue"
+	"violetthread/attempt"
+	"violetthread/hint"
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
 	"violetthread/placement"
 	"violetthread/route"
 	"violetthread/schema/fb"
@@ -45,11 +45,11 @@
 	inc    uint64
 	view   atomic.Pointer[view]
 	pool   *pool
-	hints  *cue.Holders
+	hints  *hint.Holders
 	hintMu sync.Mutex
 	mu     sync.Mutex // of pick and window
 	pick   *placement.Picker
-	window map[string]*blotter.Window // by pool
+	window map[string]*attempt.Window // by pool
 	allow  float64
 	srv    atomic.Pointer[http.Server]
 	closed atomic.Bool // no new connection is taken any more
@@ -75,16 +75,16 @@
 	}
 	grace := max(s.Bounds.GraceUS-700_000, 1_000_000)
 	d := base.Start("carrier", s.Name, s.HTTP, grace)
-	c := &carrier{s: s, d: d, door: door, book: link.NewBook(d.Crew), inc: binary.LittleEndian.Uint64(b[:])>>24 | 1,
-		pool: newPool(), hints: cue.NewHolders(s.Hints)}
+	c := &carrier{s: s, d: d, door: door, book: link.NewBook(d.Group), inc: binary.LittleEndian.Uint64(b[:])>>24 | 1,
+		pool: newPool(), hints: hint.NewHolders(s.Hints)}
 	c.pick = placement.New(s.Site, c.hints)
-	c.window, c.allow = map[string]*blotter.Window{}, 1
+	c.window, c.allow = map[string]*attempt.Window{}, 1
 	c.view.Store(&view{})
 	f := &follower{c: c, fars: map[string]*far{}}
-	d.Crew.Go("follow", f.run)
-	d.Crew.Go("ready", func(ctx context.Context) { crew.Every(ctx, clock.Micros(40_000), c.watch) })
-	d.Crew.Go("sweep", func(ctx context.Context) {
-		crew.Every(ctx, clock.Micros(1_000_000), func(context.Context) { c.pool.sweep(func(string) bool { return true }) })
+	d.Group.Go("follow", f.run)
+	d.Group.Go("ready", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(40_000), c.watch) })
+	d.Group.Go("sweep", func(ctx context.Context) {
+		taskgroup.Every(ctx, clock.Micros(1_000_000), func(context.Context) { c.pool.sweep(func(string) bool { return true }) })
 	})
 	d.OnDrain(c.drain)
 	c.gauges()
@@ -137,10 +137,10 @@
 
 // budget is this proxy's part of the further sends that a pool may get in all. The
 // caller holds the lock.
-func (c *carrier) budget(pool string) *blotter.Window {
+func (c *carrier) budget(pool string) *attempt.Window {
 	w := c.window[pool]
 	if w == nil {
-		w = &blotter.Window{SpanUS: c.s.Bounds.RetryWindowUS, Ratio: c.s.Bounds.RetryRatio * 0.7}
+		w = &attempt.Window{SpanUS: c.s.Bounds.RetryWindowUS, Ratio: c.s.Bounds.RetryRatio * 0.7}
 		c.window[pool] = w
 	}
 	w.Allow = c.allow
@@ -162,13 +162,13 @@
 		s.IdleTimeout = 60 * time.Second
 	}
 	c.srv.Store(s)
-	c.d.Crew.Go("callers", func(context.Context) {
+	c.d.Group.Go("callers", func(context.Context) {
 		if err := s.Serve(rawListener{ln}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			c.d.Log.Info("callers_problem", "cause", err.Error())
 			c.d.Stop()
 		}
 	})
-	c.d.Crew.Go("callers.close", func(ctx context.Context) {
+	c.d.Group.Go("callers.close", func(ctx context.Context) {
 		<-ctx.Done()
 		_ = s.Close()
 	})
@@ -187,7 +187,7 @@
 	if s == nil {
 		return
 	}
-	crew.Pause(ctx, awayUS)
+	taskgroup.Pause(ctx, awayUS)
 	c.closed.Store(true)
 	_ = s.Shutdown(ctx)
 	c.pool.closeIdle()
--- a/internal/app/carrier/raw.go
+++ b/internal/app/proxy/raw.go
@@ -1,4 +1,4 @@
-package carrier
+package proxy
 
 import (
 	"bytes"
--- a/internal/app/session/session.go
+++ b/internal/app/session/session.go
@@ -12,11 +12,11 @@
 	"github.com/gravitational/trace"
 
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
 	"violetthread/plan"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 )
 
 const (
@@ -34,7 +34,7 @@
 
 // Session is a node's tie to the control nodes.
 type Session struct {
-	c     *crew.Crew
+	c     *taskgroup.Group
 	book  *link.Book
 	self  func() *fb.NodeT
 	seeds []string
@@ -45,7 +45,7 @@
 }
 
 // New makes a session; Run starts it. Self tells of this node at each beat.
-func New(c *crew.Crew, book *link.Book, seeds []string, self func() *fb.NodeT) *Session {
+func New(c *taskgroup.Group, book *link.Book, seeds []string, self func() *fb.NodeT) *Session {
 	s := &Session{c: c, book: book, seeds: seeds, self: self}
 	s.view.Store(&View{})
 	return s
@@ -54,10 +54,10 @@
 // View returns the newest view.
 func (s *Session) View() *View { return s.view.Load() }
 
-// Run keeps the session up until the crew stops.
+// Run keeps the session up until the group stops.
 func (s *Session) Run() {
 	s.c.Go("session", func(ctx context.Context) {
-		crew.Every(ctx, clock.Micros(period), s.beat)
+		taskgroup.Every(ctx, clock.Micros(period), s.beat)
 	})
 }
 
@@ -153,19 +153,19 @@
 		switch {
 		case err != nil:
 			last = err
-			if op.Kind == byte(settle.OpPut) {
+			if op.Kind == byte(quorum.OpPut) {
 				return nil, err // the one kind that must not be repeated blindly
 			}
 		case r.OpTell == nil:
 			last = trace.BadParameter("a registrar answered out of turn")
-		case settle.Status(r.OpTell.Status) == settle.Unknown && op.Kind != byte(settle.OpPut):
+		case quorum.Status(r.OpTell.Status) == quorum.Unknown && op.Kind != byte(quorum.OpPut):
 			last = trace.ConnectionProblem(nil, "the key changed owners meanwhile; ask again")
-		case settle.Status(r.OpTell.Status) == settle.NotOwner:
+		case quorum.Status(r.OpTell.Status) == quorum.NotOwner:
 			last = trace.ConnectionProblem(nil, "the key has no owner just now; try again in a second")
 		default:
 			return r.OpTell, nil
 		}
-		if !crew.Pause(ctx, 20_000) {
+		if !taskgroup.Pause(ctx, 20_000) {
 			break
 		}
 	}
--- a/internal/base/daemon.go
+++ b/internal/base/daemon.go
@@ -25,8 +25,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
 )
 
 // bareKeys and bareWords find quotes that the library writes and nobody needs;
@@ -69,7 +69,7 @@
 // Daemon is one running process.
 type Daemon struct {
 	Program, Name string
-	Crew          *crew.Crew
+	Group          *taskgroup.Group
 	Log           logr.Logger
 	Vitals        *prometheus.Registry
 	srv           *khttp.Server
@@ -84,7 +84,7 @@
 // Start makes a daemon that will serve HTTP at addr.
 func Start(program, name, addr string, drainUS int64) *Daemon {
 	d := &Daemon{Program: program, Name: name, Log: Log(program, name), Vitals: prometheus.NewRegistry(), drainFor: clock.Micros(drainUS)}
-	d.Crew = crew.New(context.Background(), d.Log)
+	d.Group = taskgroup.New(context.Background(), d.Log)
 	d.SetReady("starting")
 	// The library's default of one second would cut streams.
 	d.srv = khttp.NewServer(khttp.Address(addr), khttp.Timeout(0), khttp.NotFoundHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -196,7 +196,7 @@
 	d.app.Store(app)
 	d.Log.Info("started", "version", Version)
 	err := app.Run()
-	d.Crew.Stop()
+	d.Group.Stop()
 	for _, f := range d.onStop {
 		f()
 	}
--- a/internal/rig/core_test.go
+++ b/internal/e2e/core_test.go
@@ -1,4 +1,4 @@
-package rig
+package e2e
 
 import (
 	"context"
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"violetthread/internal/app/registrar"
+	"violetthread/internal/app/control"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
+	"violetthread/internal/taskgroup"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 )
 
 // core is a few real registrars over loopback that come, go and lose their disks.
@@ -26,8 +26,8 @@
 }
 
 type machine struct {
-	s    registrar.Settings
-	node *registrar.Node
+	s    control.Settings
+	node *control.Node
 	over sync.WaitGroup
 }
 
@@ -56,7 +56,7 @@
 func (c *core) port() string { p := c.ports[0]; c.ports = c.ports[1:]; return p }
 
 func (c *core) machine(name string) {
-	s := registrar.Defaults()
+	s := control.Defaults()
 	s.Name, s.Site, s.HTTP, s.Wire, s.Data, s.Drain = name, "north", c.port(), c.port(), c.t.TempDir(), 0
 	s.RingFiles, s.RingBytes, s.Patience = 16, 2<<20, 2_500_000
 	c.m[name] = &machine{s: s}
@@ -66,14 +66,14 @@
 	c.t.Helper()
 	m := c.m[name]
 	m.s.Found, m.s.Seeds = found, c.seeds
-	n, err := registrar.Make(m.s)
+	n, err := control.Make(m.s)
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	m.node = n
 	m.over.Add(1)
 	d := n.Daemon()
-	crew.New(context.Background(), d.Log).Go("machine", func(context.Context) {
+	taskgroup.New(context.Background(), d.Log).Go("machine", func(context.Context) {
 		defer m.over.Done()
 		_ = d.Run()
 	})
@@ -83,7 +83,7 @@
 func (c *core) kill(names ...string) {
 	for _, n := range names {
 		if m := c.m[n]; m.node != nil {
-			m.node.Daemon().Crew.Stop()
+			m.node.Daemon().Group.Stop()
 		}
 	}
 	for _, n := range names {
@@ -161,8 +161,8 @@
 	seen := map[uint16]bool{}
 	for i := 0; len(seen) < 16; i++ {
 		k := fmt.Sprint("key", i)
-		if s := settle.SlotOf(k, 16); !seen[s] {
-			if a := c.m[name].node.Once(ctx, &fb.OpAskT{Kind: byte(settle.OpGet), Key: k}); settle.Status(a.Status) != settle.Done {
+		if s := quorum.SlotOf(k, 16); !seen[s] {
+			if a := c.m[name].node.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpGet), Key: k}); quorum.Status(a.Status) != quorum.Done {
 				return false
 			}
 			seen[s] = true
@@ -173,14 +173,14 @@
 
 func (c *core) put(name, key, val string) {
 	c.t.Helper()
-	if a := c.m[name].node.Op(context.Background(), &fb.OpAskT{Kind: byte(settle.OpPut), Key: key, Val: []byte(val), Expect: settle.AnyRev}); settle.Status(a.Status) != settle.Done {
+	if a := c.m[name].node.Op(context.Background(), &fb.OpAskT{Kind: byte(quorum.OpPut), Key: key, Val: []byte(val), Expect: quorum.AnyRev}); quorum.Status(a.Status) != quorum.Done {
 		c.t.Fatalf("putting %s at %s ended in %d", key, name, a.Status)
 	}
 }
 
 func (c *core) reads(name, key, val string) {
 	c.t.Helper()
-	if a := c.m[name].node.Op(context.Background(), &fb.OpAskT{Kind: byte(settle.OpGet), Key: key}); settle.Status(a.Status) != settle.Done || string(a.Val) != val {
+	if a := c.m[name].node.Op(context.Background(), &fb.OpAskT{Kind: byte(quorum.OpGet), Key: key}); quorum.Status(a.Status) != quorum.Done || string(a.Val) != val {
 		c.t.Fatalf("reading %s at %s ended in %d: %q, not %q", key, name, a.Status, a.Val, val)
 	}
 }
--- a/internal/rig/rig_test.go
+++ b/internal/e2e/e2e_test.go
@@ -1,5 +1,5 @@
-// Package rig runs a small fleet of the real daemons over loopback in one process.
-package rig
+// Package e2e runs a small fleet of the real daemons over loopback in one process.
+package e2e
 
 import (
 	"bytes"
@@ -16,20 +16,20 @@
 	"testing"
 	"time"
 
-	"violetthread/depository"
-	"violetthread/internal/app/custodian"
-	"violetthread/internal/app/registrar"
-	"violetthread/internal/app/remisier"
-	"violetthread/internal/app/runner"
+	"violetthread/internal/app/agent"
+	"violetthread/internal/app/control"
+	"violetthread/internal/app/gateway"
+	"violetthread/internal/app/indexnode"
 	"violetthread/internal/base"
 	"violetthread/internal/callerapi"
-	"violetthread/internal/crew"
 	"violetthread/internal/standin/backend"
 	"violetthread/internal/standin/engine"
 	"violetthread/internal/standin/platform"
+	"violetthread/internal/taskgroup"
 	"violetthread/plan"
-	"violetthread/settle"
+	"violetthread/quorum"
 	"violetthread/tape/reel"
+	"violetthread/wal"
 )
 
 // ports hands out addresses that were free a moment ago.
@@ -52,18 +52,18 @@
 
 // sick is a disk that stalls, fills up or fails when told to.
 type sick struct {
-	depository.FS
+	wal.FS
 	mu   sync.Mutex
 	gate *sync.Cond
 	how  string // "" is well; stalled, full, failing
 }
 
 type sickFile struct {
-	depository.File
+	wal.File
 	d *sick
 }
 
-func newSick(fs depository.FS) *sick {
+func newSick(fs wal.FS) *sick {
 	d := &sick{FS: fs}
 	d.gate = sync.NewCond(&d.mu)
 	return d
@@ -92,7 +92,7 @@
 	return nil
 }
 
-func (d *sick) Open(name string, size int64) (depository.File, error) {
+func (d *sick) Open(name string, size int64) (wal.File, error) {
 	f, err := d.FS.Open(name, size)
 	return sickFile{f, d}, err
 }
@@ -131,7 +131,7 @@
 	}
 	r.stop[name] = d
 	r.wg.Add(1)
-	c := crew.New(d.Crew.Context(), d.Log)
+	c := taskgroup.New(d.Group.Context(), d.Log)
 	c.Go(name, func(context.Context) {
 		defer r.wg.Done()
 		_ = d.Run()
@@ -149,16 +149,16 @@
 	}
 	sites := []string{"north", "east", "south", "west"}
 	for i := 0; i < 4; i++ {
-		s := registrar.Defaults()
+		s := control.Defaults()
 		s.Name, s.Site, s.HTTP, s.Wire, s.Found, s.Data = fmt.Sprint("registrar", i), sites[i], next(), wires[i], true, fmt.Sprintf("%s/r%d", dir, i)
 		s.RingFiles, s.RingBytes, s.Drain = 8, 256<<10, 0
 		s.Seeds = wires[:3] // the fourth joins
-		s.Disk = func(fs depository.FS) depository.FS {
+		s.Disk = func(fs wal.FS) wal.FS {
 			r.disks = append(r.disks, newSick(fs))
 			return r.disks[len(r.disks)-1]
 		}
 		r.registrars = append(r.registrars, s.HTTP)
-		d, err := registrar.New(s)
+		d, err := control.New(s)
 		r.run(s.Name, d, err)
 	}
 	var list []string
@@ -180,24 +180,24 @@
 	d, err = backend.New(bs)
 	r.run("backend", d, err)
 	for i := 0; i < 2; i++ {
-		s := custodian.Defaults()
+		s := indexnode.Defaults()
 		s.Name, s.Site, s.HTTP, s.Wire, s.Seeds, s.Platform, s.Drain = fmt.Sprint("custodian", i), sites[i], next(), next(), wires[:3], r.platform, 500_000
 		s.Tape = fmt.Sprintf("%s/c%d.tape", dir, i)
 		r.tapes = append(r.tapes, s.Tape)
-		d, err := custodian.New(s)
+		d, err := indexnode.New(s)
 		r.run(s.Name, d, err)
 	}
 	for i := 0; i < 2; i++ {
-		a := runner.Defaults()
+		a := agent.Defaults()
 		a.Name, a.Site, a.HTTP, a.Wire, a.Seeds, a.Drain = fmt.Sprint("remisier", i), sites[i], next(), next(), wires[:3], 0
-		d, err := runner.New(a)
+		d, err := agent.New(a)
 		r.run(a.Name+"-runner", d, err)
-		s := remisier.Defaults()
+		s := gateway.Defaults()
 		s.Name, s.Site, s.HTTP, s.Runner, s.Drain = a.Name, a.Site, next(), a.Wire, 3_000_000
 		s.Tape = fmt.Sprintf("%s/p%d.tape", dir, i)
 		r.tapes = append(r.tapes, s.Tape)
 		r.proxies = append(r.proxies, s.HTTP)
-		d, err = remisier.New(s)
+		d, err = gateway.New(s)
 		r.run(s.Name, d, err)
 	}
 	t.Cleanup(r.down)
@@ -322,7 +322,7 @@
 	})
 	t.Run("two operators at once", func(t *testing.T) {
 		done := make(chan int, 8)
-		c := crew.New(r.stop["platform"].Crew.Context(), r.stop["platform"].Log)
+		c := taskgroup.New(r.stop["platform"].Group.Context(), r.stop["platform"].Log)
 		for i := 0; i < 8; i++ {
 			c.Go("operator", func(context.Context) {
 				st, _ := r.send("PATCH", r.registrars[i%4]+"/v1/plan", "", nil, fmt.Sprintf(`{"notes":{"op%d":%d}}`, i, i))
@@ -441,7 +441,7 @@
 			last callerapi.Frame
 		}
 		got := make(chan word, 1)
-		c := crew.New(r.stop["platform"].Crew.Context(), r.stop["platform"].Log)
+		c := taskgroup.New(r.stop["platform"].Group.Context(), r.stop["platform"].Log)
 		// Sixty pieces of 3 ms: with a hundred recomputed parts it is still
 		// running when the plan arrives.
 		long := string(bytes.Repeat([]byte("y"), 64<<10))
@@ -502,11 +502,11 @@
 	r.until("a plan is taken", func() bool { st, _ := r.send("PUT", r.registrars[1]+"/v1/plan", "", nil, body); return st == 200 })
 	owner := func() int {
 		for _, a := range r.registrars {
-			var f registrar.Fleet
+			var f control.Fleet
 			if _, b := r.get(a + "/v1/fleet"); json.Unmarshal([]byte(b), &f) != nil || len(f.Slots) == 0 {
 				continue
 			}
-			o := f.Slots[settle.SlotOf("plan", len(f.Slots))].Owner
+			o := f.Slots[quorum.SlotOf("plan", len(f.Slots))].Owner
 			for k := range r.registrars {
 				if o == fmt.Sprint("registrar", k) && r.stop[o] != nil {
 					return k
--- a/internal/engineapi/api.go
+++ b/internal/engineapi/api.go
@@ -6,7 +6,7 @@
 	"encoding/binary"
 	"encoding/hex"
 
-	"violetthread/cue"
+	"violetthread/hint"
 )
 
 // Run is the body of POST /v1/run. The answer is a stream of Line, one JSON
@@ -110,7 +110,7 @@
 }
 
 // Part writes a key as engines know it: 40 hex digits, check last.
-func Part(k cue.Key) string {
+func Part(k hint.Key) string {
 	var b [20]byte
 	binary.BigEndian.PutUint64(b[:], k.Hi)
 	binary.BigEndian.PutUint64(b[8:], k.Lo)
@@ -119,16 +119,16 @@
 }
 
 // Key reads a part's name back.
-func Key(s string) (cue.Key, bool) {
+func Key(s string) (hint.Key, bool) {
 	b, err := hex.DecodeString(s)
 	if err != nil || len(b) != 20 {
-		return cue.Key{}, false
+		return hint.Key{}, false
 	}
-	return cue.Key{Hi: binary.BigEndian.Uint64(b), Lo: binary.BigEndian.Uint64(b[8:]), Check: binary.BigEndian.Uint32(b[16:])}, true
+	return hint.Key{Hi: binary.BigEndian.Uint64(b), Lo: binary.BigEndian.Uint64(b[8:]), Check: binary.BigEndian.Uint32(b[16:])}, true
 }
 
 // Parts writes a chain.
-func Parts(ks []cue.Key) []string {
+func Parts(ks []hint.Key) []string {
 	out := make([]string, len(ks))
 	for i, k := range ks {
 		out[i] = Part(k)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,7 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
+	"violetthread/internal/taskgroup"
 	"violetthread/internal/wire"
 	"violetthread/schema/fb"
 )
@@ -55,8 +55,8 @@
 	outQueue = 1024
 )
 
-// Serve answers frames on l until the crew stops.
-func Serve(c *crew.Crew, l net.Listener, h Handler) {
+// Serve answers frames on l until the group stops.
+func Serve(c *taskgroup.Group, l net.Listener, h Handler) {
 	c.Go("link.close", func(ctx context.Context) {
 		<-ctx.Done()
 		_ = l.Close()
@@ -72,7 +72,7 @@
 	})
 }
 
-func serveWire(ctx context.Context, c *crew.Crew, w net.Conn, h Handler) {
+func serveWire(ctx context.Context, c *taskgroup.Group, w net.Conn, h Handler) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	c.Go("link.shut", func(context.Context) {
@@ -96,7 +96,7 @@
 			h(ctx, f) // in order, and unanswered
 			continue
 		}
-		if !crew.Give(ctx, room, struct{}{}) {
+		if !taskgroup.Give(ctx, room, struct{}{}) {
 			return
 		}
 		c.Go("link.answer", func(context.Context) {
@@ -106,7 +106,7 @@
 				a = &fb.FrameT{Problem: &fb.ProblemT{Kind: "unhandled", Text: "this process does not answer that"}}
 			}
 			a.Ref = f.Ref
-			crew.Give(ctx, out, wire.Encode(a))
+			taskgroup.Give(ctx, out, wire.Encode(a))
 		})
 	}
 }
@@ -125,7 +125,7 @@
 func writeAll(ctx context.Context, stop context.CancelFunc, w net.Conn, out <-chan []byte) {
 	defer stop()
 	for {
-		b, ok := crew.Wait(ctx, out)
+		b, ok := taskgroup.Wait(ctx, out)
 		if !ok {
 			return
 		}
@@ -141,7 +141,7 @@
 
 // Peer is the far end of a wire that is dialled when needed.
 type Peer struct {
-	c    *crew.Crew
+	c    *taskgroup.Group
 	addr string
 	mu   sync.Mutex
 	cur  *session
@@ -159,7 +159,7 @@
 }
 
 // NewPeer makes a peer; nothing is dialled yet.
-func NewPeer(c *crew.Crew, addr string) *Peer { return &Peer{c: c, addr: addr} }
+func NewPeer(c *taskgroup.Group, addr string) *Peer { return &Peer{c: c, addr: addr} }
 
 // Addr is where the peer listens.
 func (p *Peer) Addr() string { return p.addr }
@@ -216,7 +216,7 @@
 func (p *Peer) Send(f *fb.FrameT) {
 	s, err := p.get(p.c.Context())
 	if err == nil {
-		crew.Offer(s.out, wire.Encode(f))
+		taskgroup.Offer(s.out, wire.Encode(f))
 	}
 }
 
@@ -235,7 +235,7 @@
 	f.Ref = s.ref
 	s.wait[f.Ref] = ch
 	s.mu.Unlock()
-	if !crew.Give(ctx, s.out, wire.Encode(f)) {
+	if !taskgroup.Give(ctx, s.out, wire.Encode(f)) {
 		return nil, trace.ConnectionProblem(ctx.Err(), "%s takes no more frames; it may be frozen", p.addr)
 	}
 	select {
@@ -259,13 +259,13 @@
 
 // Book keeps one Peer for each address.
 type Book struct {
-	c  *crew.Crew
+	c  *taskgroup.Group
 	mu sync.Mutex
 	m  map[string]*Peer
 }
 
 // NewBook makes an empty book.
-func NewBook(c *crew.Crew) *Book { return &Book{c: c, m: map[string]*Peer{}} }
+func NewBook(c *taskgroup.Group) *Book { return &Book{c: c, m: map[string]*Peer{}} }
 
 // At returns the peer at addr.
 func (b *Book) At(addr string) *Peer {
--- a/internal/scale/engines.go
+++ b/internal/scale/engines.go
@@ -12,10 +12,10 @@
 
 	"github.com/gravitational/trace"
 
-	"violetthread/cue"
+	"violetthread/hint"
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
+	"violetthread/internal/taskgroup"
 	"violetthread/placement"
 )
 
@@ -47,7 +47,7 @@
 
 func (e *engine) salt() string       { return e.model + "/" + hollowDay }
 func (e *engine) part(n int) string  { return fmt.Sprintf("%s-%024x", e.id, n) }
-func (e *engine) key(n int) cue.Key  { return cue.PartKey(e.salt(), e.model, e.part(n)) }
+func (e *engine) key(n int) hint.Key { return hint.PartKey(e.salt(), e.model, e.part(n)) }
 func (e *engine) node() uint64       { return placement.EngineNode(e.id) }
 func (e *engine) add(on bool, n int) { e.log = append(e.log, event{on, n}) }
 
@@ -86,7 +86,7 @@
 }
 
 // StartEngines makes n hollow engines that keep blocks parts together, and serves them.
-func StartEngines(c *crew.Crew, list string, n, blocks int, b *Board) (*Engines, error) {
+func StartEngines(c *taskgroup.Group, list string, n, blocks int, b *Board) (*Engines, error) {
 	es := &Engines{by: map[string]*engine{}, board: b}
 	l, err := net.Listen("tcp", list)
 	if err != nil {
@@ -119,7 +119,7 @@
 	return es, nil
 }
 
-func serve(c *crew.Crew, name string, l net.Listener, h http.Handler) {
+func serve(c *taskgroup.Group, name string, l net.Listener, h http.Handler) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: clock.Micros(5_000_000)}
 	c.Go(name, func(context.Context) { _ = s.Serve(l) })
 	c.Go(name+".close", func(ctx context.Context) {
@@ -131,7 +131,7 @@
 // Run brings events about, rate a second, half of them parts kept and half parts dropped.
 func (es *Engines) Run(ctx context.Context, rate int) {
 	last := clock.Now()
-	crew.Every(ctx, clock.Micros(eventTick), func(context.Context) {
+	taskgroup.Every(ctx, clock.Micros(eventTick), func(context.Context) {
 		now := clock.Now()
 		es.owed += float64(rate) * float64(now-last) / 1e6
 		last = now
@@ -223,7 +223,7 @@
 		if n > since || ctx.Err() != nil {
 			break
 		}
-		crew.Wait(ctx, bell)
+		taskgroup.Wait(ctx, bell)
 	}
 	e.mu.Lock()
 	since = min(max(since, 0), len(e.log))
--- a/internal/scale/hollow_test.go
+++ b/internal/scale/hollow_test.go
@@ -15,12 +15,12 @@
 	"github.com/go-logr/logr"
 	"github.com/integrii/flaggy"
 
-	"violetthread/cue"
-	"violetthread/internal/app/carrier"
-	"violetthread/internal/app/steward"
+	"violetthread/hint"
+	"violetthread/internal/app/directory"
+	"violetthread/internal/app/proxy"
 	"violetthread/internal/base"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
 	"violetthread/platform"
 	"violetthread/route"
 	"violetthread/schema/fb"
@@ -36,7 +36,7 @@
 	done   chan struct{}
 }
 
-func play(t *testing.T, c *crew.Crew, ls []net.Listener, script []func(string) *fb.MapTellT) *stewards {
+func play(t *testing.T, c *taskgroup.Group, ls []net.Listener, script []func(string) *fb.MapTellT) *stewards {
 	s := &stewards{script: script, done: make(chan struct{})}
 	for _, l := range ls {
 		a := l.Addr().String()
@@ -140,8 +140,8 @@
 		step(2, 7, 2, 6, nil),
 		step(2, 7, 2, 7, nil),
 	}
-	run := func(what string, start func(c *crew.Crew) (stop func())) []string {
-		c := crew.New(context.Background(), logr.Discard())
+	run := func(what string, start func(c *taskgroup.Group) (stop func())) []string {
+		c := taskgroup.New(context.Background(), logr.Discard())
 		s := play(t, c, listen(t, addrs...), script)
 		stop := start(c)
 		select {
@@ -153,13 +153,13 @@
 		c.Stop()
 		return s.asked
 	}
-	hollow := run("hollow", func(c *crew.Crew) func() {
+	hollow := run("hollow", func(c *taskgroup.Group) func() {
 		p := NewProxy(c, 0, "proxy-1", "north", addrs, NewBoard(1), []uint64{1}, 0)
 		c.Go("hollow", p.Run)
 		return func() {}
 	})
-	real := run("real", func(c *crew.Crew) func() {
-		d, err := carrier.New(carrier.Settings{Name: "proxy-1", Site: "north", HTTP: free(t), Listen: free(t), Seeds: addrs, Bounds: route.DefaultBounds(), Hints: 64}, platform.Door{})
+	real := run("real", func(c *taskgroup.Group) func() {
+		d, err := proxy.New(proxy.Settings{Name: "proxy-1", Site: "north", HTTP: free(t), Listen: free(t), Seeds: addrs, Bounds: route.DefaultBounds(), Hints: 64}, platform.Door{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -170,7 +170,7 @@
 			_ = d.Run()
 		})
 		return func() {
-			d.Crew.Stop()
+			d.Group.Stop()
 			d.Stop()
 			over.Wait()
 		}
@@ -188,7 +188,7 @@
 // TestHollowEngines are read by what reads real ones: the list, all that is kept, and
 // what changes, whose names come to the keys that are timed.
 func TestHollowEngines(t *testing.T) {
-	c := crew.New(context.Background(), logr.Discard())
+	c := taskgroup.New(context.Background(), logr.Discard())
 	defer c.Stop()
 	b := NewBoard(1)
 	list := free(t)
@@ -202,7 +202,7 @@
 	if err != nil || len(l) != 3 || l[0].Draining || !l[1].Draining || l[2].Slots == 0 || l[2].Weights["model-02"] != 1 {
 		t.Fatalf("%+v, %v", l, err)
 	}
-	kept := map[string]map[cue.Key]bool{}
+	kept := map[string]map[hint.Key]bool{}
 	epoch, since := map[string]string{}, map[string]string{}
 	read := func(a string) {
 		p, err := pf.News(context.Background(), a, since[a], 0)
@@ -210,11 +210,11 @@
 			t.Fatalf("%+v, %v", p, err)
 		}
 		if kept[a] == nil {
-			kept[a] = map[cue.Key]bool{}
+			kept[a] = map[hint.Key]bool{}
 		}
 		epoch[a], since[a] = p.Epoch, p.Next
 		for _, x := range p.Changes {
-			k := cue.PartKey(x.Salt, x.Model, x.Part)
+			k := hint.PartKey(x.Salt, x.Model, x.Part)
 			if kept[a][k] == x.Kept {
 				t.Fatalf("%s told %+v twice", a, x)
 			}
@@ -254,7 +254,7 @@
 			}
 		}
 	}
-	if r := pf.Order(context.Background(), steward.Order{Engine: l[0].ID, Addr: l[0].Addr, Model: "model-00", Version: 2}); r != steward.Doing {
+	if r := pf.Order(context.Background(), directory.Order{Engine: l[0].ID, Addr: l[0].Addr, Model: "model-00", Version: 2}); r != directory.Doing {
 		t.Errorf("an order was answered %v", r)
 	}
 	if w, busy, err := pf.Running(context.Background(), l[0].Addr); err != nil || busy || !reflect.DeepEqual(w, map[string]uint64{"model-00": 1}) {
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -16,8 +16,8 @@
 	"github.com/gravitational/trace"
 
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
 )
 
 // Sample is what one run showed. Figures of a role are a mean over its processes.
@@ -42,7 +42,7 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), clock.Micros(startMost+changeMost+s.Seconds*3_000_000))
 	defer stop()
-	c := crew.New(ctx, log)
+	c := taskgroup.New(ctx, log)
 	defer c.Stop()
 	b := NewBoard(s.Proxies)
 	es, err := StartEngines(c, s.List, s.Engines, s.Blocks, b)
@@ -56,7 +56,7 @@
 type run struct {
 	s       Settings
 	log     logr.Logger
-	c       *crew.Crew
+	c       *taskgroup.Group
 	board   *Board
 	engines *Engines
 	version int
@@ -68,7 +68,7 @@
 		if f() {
 			return true
 		}
-		if !crew.Pause(ctx, 20_000) {
+		if !taskgroup.Pause(ctx, 20_000) {
 			return false
 		}
 	}
@@ -97,7 +97,7 @@
 	for i := range s.Proxies {
 		p := NewProxy(r.c, i, fmt.Sprintf("hollow-%04d", i), fmt.Sprintf("zone-%02d", i%zones), s.Wires, r.board, nodes, s.UnderWay)
 		r.c.Go("proxy", p.Run)
-		crew.Pause(ctx, stagger)
+		taskgroup.Pause(ctx, stagger)
 	}
 	r.c.Go("events", func(ctx context.Context) { r.engines.Run(ctx, s.Events) })
 	whole := until(ctx, startMost, func() bool { return r.board.Ready() == s.Proxies })
@@ -105,7 +105,7 @@
 	if !whole && s.Role != "limit" {
 		return nil, trace.LimitExceeded("%d of %d hollow proxies know all after %d s; give smaller sizes, or --role limit", r.board.Ready(), s.Proxies, startMost/1_000_000)
 	}
-	crew.Pause(ctx, calm)
+	taskgroup.Pause(ctx, calm)
 	return r.window(ctx, float64(ready)/1000)
 }
 
@@ -142,7 +142,7 @@
 			}
 		}
 		if d := t0 + s.Seconds*1_000_000*int64(i+1)/int64(steps) - clock.Now(); d > 0 {
-			crew.Pause(ctx, d)
+			taskgroup.Pause(ctx, d)
 		}
 	}
 	l1, e1, p1, v1 := link.Total(), r.engines.Bytes.Load(), r.engines.Listed.Load(), r.engines.Events.Load()
--- a/internal/scale/proxies.go
+++ b/internal/scale/proxies.go
@@ -9,10 +9,10 @@
 
 	"github.com/samber/lo"
 
-	"violetthread/cue"
+	"violetthread/hint"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/link"
+	"violetthread/internal/taskgroup"
 	"violetthread/schema/fb"
 )
 
@@ -46,7 +46,7 @@
 )
 
 // NewProxy makes hollow proxy num with under requests under way at engines nodes.
-func NewProxy(c *crew.Crew, num int, name, site string, seeds []string, b *Board, nodes []uint64, under int) *Proxy {
+func NewProxy(c *taskgroup.Group, num int, name, site string, seeds []string, b *Board, nodes []uint64, under int) *Proxy {
 	p := &Proxy{num: num, name: name, site: site, inc: rand.Uint64()>>24 | 1, seeds: seeds, book: link.NewBook(c), board: b, fars: map[string]*far{}}
 	for range under {
 		p.nodes = append(p.nodes, nodes[rand.Intn(len(nodes))])
@@ -60,7 +60,7 @@
 // Run follows until ctx ends.
 func (p *Proxy) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !p.once(ctx) && !crew.Pause(ctx, afterBad) {
+		if !p.once(ctx) && !taskgroup.Pause(ctx, afterBad) {
 			return
 		}
 	}
@@ -182,7 +182,7 @@
 	k.NewsInc, k.NewsSince = t.NewsInc, t.NewsNext
 	if !t.NewsReset {
 		for _, n := range t.News {
-			h.news = append(h.news, cue.News{Key: cue.Key{Hi: n.Hi, Lo: n.Lo, Check: n.Check}, Node: n.Node, Op: cue.Op(n.Op)})
+			h.news = append(h.news, hint.News{Key: hint.Key{Hi: n.Hi, Lo: n.Lo, Check: n.Check}, Node: n.Node, Op: hint.Op(n.Op)})
 		}
 	}
 	p.board.hear(h)
--- a/internal/standin/callers/callers.go
+++ b/internal/standin/callers/callers.go
@@ -24,9 +24,9 @@
 
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/engineapi"
 	"violetthread/internal/standin/engine"
+	"violetthread/internal/taskgroup"
 	"violetthread/useragent"
 )
 
@@ -114,7 +114,7 @@
 // Run plays a load and reports. Broken says which must-nevers were broken.
 func Run(s Settings) (*Report, error) {
 	l := &load{s: s, sc: scenarios[s.Scenario], http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
-	c := crew.New(context.Background(), base.Log("rehearsal", "callers"))
+	c := taskgroup.New(context.Background(), base.Log("rehearsal", "callers"))
 	defer c.Stop()
 	rng := rand.New(rand.NewSource(s.Seed))
 	prefix := map[string]string{}
@@ -153,7 +153,7 @@
 			}
 			l.send(ctx, t, prompt)
 		})
-		crew.Pause(c.Context(), int64(rng.ExpFloat64()*1e6/float64(s.Rate)))
+		taskgroup.Pause(c.Context(), int64(rng.ExpFloat64()*1e6/float64(s.Rate)))
 	}
 	wg.Wait()
 	return l.report()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,11 +14,11 @@
 	"strconv"
 	"sync"
 
-	"violetthread/cue"
+	"violetthread/hint"
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/engineapi"
+	"violetthread/internal/taskgroup"
 )
 
 // Settings of a stand-in engine or store.
@@ -166,7 +166,7 @@
 		delete(e.kept, o.name)
 		e.tell(engineapi.Event{Op: "drop", Part: o.name})
 		if e.s.StoreAt != "" && !e.s.Store {
-			e.d.Crew.Go("put", func(ctx context.Context) {
+			e.d.Group.Go("put", func(ctx context.Context) {
 				_ = e.http.Post(ctx, e.s.StoreAt, "/v1/put", 500_000, stored{o.name, o.domain, o.weights}, nil)
 			})
 		}
@@ -202,7 +202,7 @@
 	switch {
 	case e.s.Store:
 		why = "store"
-	case r.Inc != cue.NodeID(e.s.Name, e.inc):
+	case r.Inc != hint.NodeID(e.s.Name, e.inc):
 		why, status = "other-life", 409
 	case r.Epoch < e.epoch:
 		why, status = "old-epoch", 409
@@ -245,7 +245,7 @@
 			taken, have = n-have, n
 		}
 	}
-	if !crew.Pause(q.Context(), int64(len(r.Parts)-have)*e.s.FillUS) {
+	if !taskgroup.Pause(q.Context(), int64(len(r.Parts)-have)*e.s.FillUS) {
 		return
 	}
 	e.mu.Lock()
@@ -261,7 +261,7 @@
 		n = 8
 	}
 	for i := 0; i < n; i++ {
-		if !crew.Pause(q.Context(), e.s.PieceUS) {
+		if !taskgroup.Pause(q.Context(), e.s.PieceUS) {
 			return
 		}
 		// Each piece names its run, so that an observer sees a stitched answer.
@@ -333,7 +333,7 @@
 		return
 	}
 	n, _ := strconv.ParseInt(q.URL.Query().Get("parts"), 10, 64)
-	if !crew.Pause(q.Context(), n*e.s.MoveUS) {
+	if !taskgroup.Pause(q.Context(), n*e.s.MoveUS) {
 		return
 	}
 	base.JSON(w, 200, stored{p.name, p.domain, p.weights})
@@ -412,7 +412,7 @@
 	first := e.turning == ""
 	e.turning = t.Weights
 	if first {
-		e.d.Crew.Go("turn", e.load)
+		e.d.Group.Go("turn", e.load)
 	}
 	base.JSON(w, 200, "ok")
 }
@@ -422,7 +422,7 @@
 		e.mu.Lock()
 		name := e.turning
 		e.mu.Unlock()
-		if !crew.Pause(ctx, e.s.LoadUS) {
+		if !taskgroup.Pause(ctx, e.s.LoadUS) {
 			return
 		}
 		for {
@@ -431,7 +431,7 @@
 				break
 			}
 			e.mu.Unlock()
-			if !crew.Pause(ctx, 5000) {
+			if !taskgroup.Pause(ctx, 5000) {
 				return
 			}
 		}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -13,8 +13,8 @@
 
 	"violetthread/internal/base"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/engineapi"
+	"violetthread/internal/taskgroup"
 )
 
 // Settings of the stand-in platform.
@@ -79,8 +79,8 @@
 		base.JSON(w, 200, p.ready)
 	})
 	c := engineapi.NewClient()
-	d.Crew.Go("ready", func(ctx context.Context) {
-		crew.Every(ctx, clock.Micros(500_000), func(ctx context.Context) {
+	d.Group.Go("ready", func(ctx context.Context) {
+		taskgroup.Every(ctx, clock.Micros(500_000), func(ctx context.Context) {
 			for _, n := range s.Nodes {
 				ok := c.Get(ctx, n, "/readyz", 300_000, nil) == nil
 				p.mu.Lock()
--- a/internal/standin/probe/probe.go
+++ b/internal/standin/probe/probe.go
@@ -15,12 +15,12 @@
 
 	"github.com/gravitational/trace"
 
-	"violetthread/cue"
+	"violetthread/hint"
 	"violetthread/internal/callerapi"
 	"violetthread/internal/clock"
-	"violetthread/internal/crew"
 	"violetthread/internal/engineapi"
 	"violetthread/internal/standin/callers"
+	"violetthread/internal/taskgroup"
 )
 
 // Latency asks for paired runs: the same ticket through a proxy and straight to
@@ -86,7 +86,7 @@
 	if err := api.Get(context.Background(), l.Engine, "/v1/report?inc=0&after=0", 2_000_000, &rep); err != nil {
 		return err
 	}
-	id := cue.NodeID(rep.Name, rep.Inc)
+	id := hint.NodeID(rep.Name, rep.Inc)
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
 	var direct, proxy, once, dProxy, dOnce []int64
 	tag := clock.Now()
@@ -160,7 +160,7 @@
 				if rev >= a.Rev {
 					break
 				}
-				crew.Pause(context.Background(), 2_000)
+				taskgroup.Pause(context.Background(), 2_000)
 			}
 		}
 		all = append(all, clock.Now()-done)
--- a/internal/crew/crew.go
+++ b/internal/taskgroup/taskgroup.go
@@ -1,6 +1,6 @@
-// Package crew is the one place where goroutines start, and where the select
+// Package taskgroup is the one place where goroutines start, and where the select
 // loops that processes need are written once.
-package crew
+package taskgroup
 
 import (
 	"context"
@@ -11,35 +11,35 @@
 	"github.com/go-logr/logr"
 )
 
-// Crew is a set of goroutines that end together.
-type Crew struct {
+// Group is a set of goroutines that end together.
+type Group struct {
 	ctx  context.Context
 	stop context.CancelFunc
 	wg   sync.WaitGroup
 	log  logr.Logger
 }
 
-// New makes a crew under ctx.
-func New(ctx context.Context, log logr.Logger) *Crew {
+// New makes a group under ctx.
+func New(ctx context.Context, log logr.Logger) *Group {
 	c, stop := context.WithCancel(ctx)
-	return &Crew{ctx: c, stop: stop, log: log}
+	return &Group{ctx: c, stop: stop, log: log}
 }
 
-// Context ends when the crew is stopped.
-func (c *Crew) Context() context.Context { return c.ctx }
+// Context ends when the group is stopped.
+func (c *Group) Context() context.Context { return c.ctx }
 
-// Log is the crew's log.
-func (c *Crew) Log() logr.Logger { return c.log }
+// Log is the group's log.
+func (c *Group) Log() logr.Logger { return c.log }
 
 // Go starts f. A panic in it is logged and ends the process: state that a
 // half-run step left behind is not to be trusted.
-func (c *Crew) Go(name string, f func(ctx context.Context)) {
+func (c *Group) Go(name string, f func(ctx context.Context)) {
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
 		defer func() {
 			if r := recover(); r != nil {
-				c.log.Info("panic", "crew", name, "cause", r, "stack", string(debug.Stack()))
+				c.log.Info("panic", "group", name, "cause", r, "stack", string(debug.Stack()))
 				panic(r)
 			}
 		}()
@@ -47,8 +47,8 @@
 	}()
 }
 
-// Stop ends the crew and waits for all of it.
-func (c *Crew) Stop() {
+// Stop ends the group and waits for all of it.
+func (c *Group) Stop() {
 	c.stop()
 	c.wg.Wait()
 }
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -10,8 +10,8 @@
 	"github.com/gravitational/trace"
 	"github.com/samber/lo"
 
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
 )
 
 // MaxFrame bounds a frame before anything is allocated for it.
@@ -58,57 +58,57 @@
 	return Decode(d)
 }
 
-func ver(v settle.Ver) *fb.VerT {
-	if v == (settle.Ver{}) {
+func ver(v quorum.Ver) *fb.VerT {
+	if v == (quorum.Ver{}) {
 		return nil
 	}
 	return &fb.VerT{Epoch: v.Epoch, Seq: v.Seq}
 }
 
-func unver(v *fb.VerT) settle.Ver {
+func unver(v *fb.VerT) quorum.Ver {
 	if v == nil {
-		return settle.Ver{}
+		return quorum.Ver{}
 	}
-	return settle.Ver{Epoch: v.Epoch, Seq: v.Seq}
+	return quorum.Ver{Epoch: v.Epoch, Seq: v.Seq}
 }
 
-func entry(e settle.Entry) *fb.EntryT {
+func entry(e quorum.Entry) *fb.EntryT {
 	return &fb.EntryT{Key: e.Key, Ver: ver(e.Ver), Rev: e.Rev, Val: e.Val}
 }
 
-func unentry(e *fb.EntryT) settle.Entry {
+func unentry(e *fb.EntryT) quorum.Entry {
 	if e == nil {
-		return settle.Entry{}
+		return quorum.Entry{}
 	}
-	return settle.Entry{Key: e.Key, Ver: unver(e.Ver), Rev: e.Rev, Val: e.Val}
+	return quorum.Entry{Key: e.Key, Ver: unver(e.Ver), Rev: e.Rev, Val: e.Val}
 }
 
 // Settle packs a voters' message.
-func Settle(m settle.Msg) *fb.FrameT {
+func Settle(m quorum.Msg) *fb.FrameT {
 	return &fb.FrameT{Settle: &fb.SettleT{Kind: byte(m.Kind), From: m.From, Inc: m.Inc, Roster: m.Roster,
 		Slot: m.Slot, Epoch: m.Epoch, At: m.At, Prev: ver(m.Prev), Mark: ver(m.Mark), Settled: ver(m.Settled),
 		Joined: m.Joined, First: m.First, Keys: m.Keys, Promised: m.Promised, Era: m.Era,
-		Entries: lo.Map(m.Entries, func(e settle.Entry, _ int) *fb.EntryT { return entry(e) }),
-		Marks: lo.Map(m.Marks, func(k settle.Mark, _ int) *fb.MarkT {
+		Entries: lo.Map(m.Entries, func(e quorum.Entry, _ int) *fb.EntryT { return entry(e) }),
+		Marks: lo.Map(m.Marks, func(k quorum.Mark, _ int) *fb.MarkT {
 			return &fb.MarkT{Slot: k.Slot, Epoch: k.Epoch, Last: ver(k.Last), Settled: ver(k.Settled), Firm: k.Firm}
 		})}}
 }
 
 // Unsettle unpacks a voters' message.
-func Unsettle(t *fb.SettleT) settle.Msg {
-	return settle.Msg{Kind: settle.Kind(t.Kind), From: t.From, Inc: t.Inc, Roster: t.Roster,
+func Unsettle(t *fb.SettleT) quorum.Msg {
+	return quorum.Msg{Kind: quorum.Kind(t.Kind), From: t.From, Inc: t.Inc, Roster: t.Roster,
 		Slot: t.Slot, Epoch: t.Epoch, At: t.At, Prev: unver(t.Prev), Mark: unver(t.Mark), Settled: unver(t.Settled),
 		Joined: t.Joined, First: t.First, Keys: t.Keys, Promised: t.Promised, Era: t.Era,
-		Entries: lo.Map(t.Entries, func(e *fb.EntryT, _ int) settle.Entry { return unentry(e) }),
-		Marks: lo.Map(t.Marks, func(k *fb.MarkT, _ int) settle.Mark {
-			return settle.Mark{Slot: k.Slot, Epoch: k.Epoch, Last: unver(k.Last), Settled: unver(k.Settled), Firm: k.Firm}
+		Entries: lo.Map(t.Entries, func(e *fb.EntryT, _ int) quorum.Entry { return unentry(e) }),
+		Marks: lo.Map(t.Marks, func(k *fb.MarkT, _ int) quorum.Mark {
+			return quorum.Mark{Slot: k.Slot, Epoch: k.Epoch, Last: unver(k.Last), Settled: unver(k.Settled), Firm: k.Firm}
 		})}
 }
 
 // Rec packs a record for the disk.
-func Rec(r settle.Rec) []byte {
+func Rec(r quorum.Rec) []byte {
 	t := &fb.RecT{Kind: byte(r.Kind), Slot: r.Slot, Epoch: r.Epoch, Mark: ver(r.Mark), Settled: ver(r.Settled)}
-	if r.Kind == settle.RecEntry || r.Kind == settle.RecDrop {
+	if r.Kind == quorum.RecEntry || r.Kind == quorum.RecDrop {
 		t.Entry = entry(r.Entry)
 	}
 	if r.Roster != nil {
@@ -130,7 +130,7 @@
 func Founding(f *fb.FoundingT) []byte { return packRec(&fb.RecT{Kind: kindFounding, Founding: f}) }
 
 // Unrec unpacks what the disk held; founding is set on that record alone.
-func Unrec(d []byte) (r settle.Rec, founding *fb.FoundingT, err error) {
+func Unrec(d []byte) (r quorum.Rec, founding *fb.FoundingT, err error) {
 	if err := Check(d, recType); err != nil {
 		return r, nil, err
 	}
@@ -145,20 +145,20 @@
 		ro := Unroster(t.Founding)
 		r.Roster = &ro
 	}
-	return settle.Rec{Roster: r.Roster, Kind: settle.RecKind(t.Kind), Slot: t.Slot, Epoch: t.Epoch, Mark: unver(t.Mark),
+	return quorum.Rec{Roster: r.Roster, Kind: quorum.RecKind(t.Kind), Slot: t.Slot, Epoch: t.Epoch, Mark: unver(t.Mark),
 		Settled: unver(t.Settled), Entry: unentry(t.Entry)}, nil, nil
 }
 
 // Roster packs a roster, with the incarnation of the disk it lies on.
-func Roster(ro settle.Roster, inc uint64) *fb.FoundingT {
-	return &fb.FoundingT{Fleet: ro.Fleet(), Inc: inc, Rev: ro.Rev, Voters: lo.Map(ro.Voters, func(v settle.Voter, _ int) *fb.VoterT {
+func Roster(ro quorum.Roster, inc uint64) *fb.FoundingT {
+	return &fb.FoundingT{Fleet: ro.Fleet(), Inc: inc, Rev: ro.Rev, Voters: lo.Map(ro.Voters, func(v quorum.Voter, _ int) *fb.VoterT {
 		return &fb.VoterT{Name: v.Name, Addr: v.Addr, Inc: v.Inc, Num: v.Num}
 	})}
 }
 
 // Unroster unpacks a roster.
-func Unroster(f *fb.FoundingT) settle.Roster {
-	return settle.Roster{Rev: f.Rev, Voters: lo.Map(f.Voters, func(v *fb.VoterT, _ int) settle.Voter {
-		return settle.Voter{Name: v.Name, Addr: v.Addr, Inc: v.Inc, Num: v.Num}
+func Unroster(f *fb.FoundingT) quorum.Roster {
+	return quorum.Roster{Rev: f.Rev, Voters: lo.Map(f.Voters, func(v *fb.VoterT, _ int) quorum.Voter {
+		return quorum.Voter{Name: v.Name, Addr: v.Addr, Inc: v.Inc, Num: v.Num}
 	})}
 }
--- a/internal/wire/desk.go
+++ b/internal/wire/desk.go
@@ -5,9 +5,9 @@
 
 	"github.com/samber/lo"
 
-	"violetthread/cue"
-	"violetthread/custody"
-	"violetthread/desk"
+	"violetthread/dispatch"
+	"violetthread/hint"
+	"violetthread/index"
 	"violetthread/schema/fb"
 )
 
@@ -20,38 +20,38 @@
 
 // Custodians picks the ready index nodes out of the members, and tells whether
 // the one named me is among them.
-func Custodians(ns []*fb.NodeT, me string) (cs []custody.Custodian, in bool) {
+func Custodians(ns []*fb.NodeT, me string) (cs []index.Custodian, in bool) {
 	for _, n := range ns {
 		if n.Role == "custodian" && n.Ready {
 			in = in || n.Name == me
-			cs = append(cs, custody.Custodian{Name: n.Name, Site: n.Site, Addr: n.Addr, Duties: n.Duties})
+			cs = append(cs, index.Custodian{Name: n.Name, Site: n.Site, Addr: n.Addr, Duties: n.Duties})
 		}
 	}
 	return cs, in
 }
 
-func key(n *fb.NewsT) cue.Key { return cue.Key{Hi: n.Hi, Lo: n.Lo, Check: n.Check} }
+func key(n *fb.NewsT) hint.Key { return hint.Key{Hi: n.Hi, Lo: n.Lo, Check: n.Check} }
 
 // Batch unpacks a feed's answer.
-func Batch(t *fb.NewsTellT) cue.Batch {
-	return cue.Batch{Inc: t.Inc, Next: t.Next, Reset: t.Reset, News: News(t.News)}
+func Batch(t *fb.NewsTellT) hint.Batch {
+	return hint.Batch{Inc: t.Inc, Next: t.Next, Reset: t.Reset, News: News(t.News)}
 }
 
 // News unpacks hint news.
-func News(ns []*fb.NewsT) []cue.News {
-	return lo.Map(ns, func(n *fb.NewsT, _ int) cue.News { return cue.News{Key: key(n), Node: n.Node, Op: cue.Op(n.Op)} })
+func News(ns []*fb.NewsT) []hint.News {
+	return lo.Map(ns, func(n *fb.NewsT, _ int) hint.News { return hint.News{Key: key(n), Node: n.Node, Op: hint.Op(n.Op)} })
 }
 
-func packNews(ns []cue.News) []*fb.NewsT {
-	return lo.Map(ns, func(n cue.News, _ int) *fb.NewsT {
+func packNews(ns []hint.News) []*fb.NewsT {
+	return lo.Map(ns, func(n hint.News, _ int) *fb.NewsT {
 		return &fb.NewsT{Hi: n.Key.Hi, Lo: n.Key.Lo, Check: n.Key.Check, Node: n.Node, Op: byte(n.Op)}
 	})
 }
 
 // NewsTell answers another index node out of a keeper's feeds.
-func NewsTell(k *custody.Keeper, q *fb.NewsAskT) *fb.NewsTellT {
-	var b cue.Batch
-	var ps []custody.Place
+func NewsTell(k *index.Keeper, q *fb.NewsAskT) *fb.NewsTellT {
+	var b hint.Batch
+	var ps []index.Place
 	switch q.Kind {
 	case HoldsFeed:
 		b, ps = k.HoldsFeed(q.From, q.Shards, q.Inc, q.Since)
@@ -61,41 +61,41 @@
 		b = k.SiteFeed(q.Site, q.Inc, q.Since)
 	}
 	return &fb.NewsTellT{Inc: b.Inc, Next: b.Next, Reset: b.Reset, News: packNews(b.News),
-		Places: lo.Map(ps, func(p custody.Place, _ int) *fb.PlaceT {
+		Places: lo.Map(ps, func(p index.Place, _ int) *fb.PlaceT {
 			return &fb.PlaceT{Id: p.ID, Engine: p.Engine, Site: p.Site, Store: p.Store}
 		})}
 }
 
 // TakeHolds gives a keeper the answer of another's holds feed.
-func TakeHolds(k *custody.Keeper, now int64, from string, t *fb.NewsTellT) {
+func TakeHolds(k *index.Keeper, now int64, from string, t *fb.NewsTellT) {
 	k.HoldsNews(now, from, Batch(t), Places(t))
 }
 
 // Places unpacks where holders lie.
-func Places(t *fb.NewsTellT) []custody.Place {
-	return lo.Map(t.Places, func(x *fb.PlaceT, _ int) custody.Place {
-		return custody.Place{ID: x.Id, Engine: x.Engine, Site: x.Site, Store: x.Store}
+func Places(t *fb.NewsTellT) []index.Place {
+	return lo.Map(t.Places, func(x *fb.PlaceT, _ int) index.Place {
+		return index.Place{ID: x.Id, Engine: x.Engine, Site: x.Site, Store: x.Store}
 	})
 }
 
 // Orderer is a keeper, recorded or not.
 type Orderer interface {
-	Orders(now int64, a custody.Ask) []custody.Order
-	ProxyFeed(site string, inc, since uint64) (cue.Batch, bool)
+	Orders(now int64, a index.Ask) []index.Order
+	ProxyFeed(site string, inc, since uint64) (hint.Batch, bool)
 }
 
 // RoomTell answers a proxy's agent out of a keeper.
 func RoomTell(k Orderer, now int64, name string, q *fb.RoomAskT) *fb.RoomTellT {
-	a := custody.Ask{Proxy: q.Proxy, Site: q.Site, Want: map[string]int{}, Active: int(q.Active)}
+	a := index.Ask{Proxy: q.Proxy, Site: q.Site, Want: map[string]int{}, Active: int(q.Active)}
 	for _, w := range q.Wants {
 		a.Want[w.Group] += int(w.N)
 	}
 	for _, i := range q.Imports {
-		a.Imports = append(a.Imports, custody.Import{Attempt: i.Attempt, Engine: i.Engine, Peer: i.Peer, Total: int(i.Total),
-			Parts: lo.Map(i.Parts, func(n *fb.NewsT, _ int) cue.Key { return key(n) })})
+		a.Imports = append(a.Imports, index.Import{Attempt: i.Attempt, Engine: i.Engine, Peer: i.Peer, Total: int(i.Total),
+			Parts: lo.Map(i.Parts, func(n *fb.NewsT, _ int) hint.Key { return key(n) })})
 	}
 	for _, s := range q.Seen {
-		a.Seen = append(a.Seen, custody.Seen{Engine: s.Engine, Problems: int(s.Problems), Dones: int(s.Dones)})
+		a.Seen = append(a.Seen, index.Seen{Engine: s.Engine, Problems: int(s.Problems), Dones: int(s.Dones)})
 	}
 	t := &fb.RoomTellT{Custodian: name}
 	for _, o := range k.Orders(now, a) {
@@ -119,19 +119,19 @@
 }
 
 // Orders unpacks standing orders; lag is added to the age of each.
-func Orders(os []*fb.OrderT, lag int64) []desk.Order {
-	return lo.Map(os, func(o *fb.OrderT, _ int) desk.Order {
+func Orders(os []*fb.OrderT, lag int64) []dispatch.Order {
+	return lo.Map(os, func(o *fb.OrderT, _ int) dispatch.Order {
 		g := map[uint64]int{}
 		for _, x := range o.Grades {
 			g[x.Peer] = int(x.Worth)
 		}
-		return desk.Order{Engine: o.Engine, Addr: o.Addr, Site: o.Site, Weights: o.Weights, Store: o.Store, ID: o.Id, Epoch: o.Epoch,
+		return dispatch.Order{Engine: o.Engine, Addr: o.Addr, Site: o.Site, Weights: o.Weights, Store: o.Store, ID: o.Id, Epoch: o.Epoch,
 			Room: int(o.Room), Queue: int(o.Queue), SlowUS: o.SlowUs, Age: o.Age + lag, Grades: g}
 	})
 }
 
 // FeedAsk packs what a proxy's desk tells its agent.
-func FeedAsk(d *desk.Desk, q *fb.FeedAskT) *fb.FeedAskT {
+func FeedAsk(d *dispatch.Desk, q *fb.FeedAskT) *fb.FeedAskT {
 	w, a := d.Want()
 	is, seen := d.Report()
 	q.Active = uint32(a)
@@ -142,7 +142,7 @@
 	}
 	for _, i := range is {
 		q.Imports = append(q.Imports, &fb.ImportT{Attempt: i.Attempt, Engine: i.Engine, Peer: i.Peer, Total: uint32(i.Total),
-			Parts: lo.Map(i.Parts, func(k cue.Key, _ int) *fb.NewsT { return &fb.NewsT{Hi: k.Hi, Lo: k.Lo, Check: k.Check} })})
+			Parts: lo.Map(i.Parts, func(k hint.Key, _ int) *fb.NewsT { return &fb.NewsT{Hi: k.Hi, Lo: k.Lo, Check: k.Check} })})
 	}
 	ns := lo.Keys(seen)
 	slices.Sort(ns)
@@ -157,14 +157,14 @@
 type Cursor struct{ Inc, Next uint64 }
 
 // TakeNews applies a feed's news to a proxy's table, in order or not at all.
-func TakeNews(t *cue.Table, c Cursor, f *fb.FeedTellT) Cursor {
+func TakeNews(t *hint.Table, c Cursor, f *fb.FeedTellT) Cursor {
 	if f.NewsReset {
 		t.Clear()
 	} else if f.NewsInc != c.Inc || f.NewsAt != c.Next {
 		return c
 	}
 	for _, n := range f.News {
-		if cue.Op(n.Op) == cue.Load {
+		if hint.Op(n.Op) == hint.Load {
 			t.Put(key(n), n.Node)
 		} else {
 			t.Drop(key(n), n.Node)
--- a/roll/roll.go
+++ b/membership/membership.go
@@ -1,7 +1,7 @@
-// Package roll is who is a member: nodes whose session with a control node
+// Package membership is who is a member: nodes whose session with a control node
 // stands. Control nodes tell each other their sessions; nothing here decides
 // anything that needs a majority (design §4.7). It is pure.
-package roll
+package membership
 
 import (
 	"sort"
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,7 +8,7 @@
 	"hash/fnv"
 	"sort"
 
-	"violetthread/cue"
+	"violetthread/hint"
 )
 
 // Engine is an engine as the map of the fleet shows it.
@@ -57,7 +57,7 @@
 	Moved   int // tokens that it is told to take from Source
 	Hit     int // tokens hinted to be there already
 	Tokens  int // that its memory holds for the request
-	Keys    []cue.Key
+	Keys    []hint.Key
 }
 
 // Figures are what the choice is made by. Times are microseconds.
@@ -113,18 +113,18 @@
 	stores   []Store
 	seen     map[string]*seen
 	toldAt   int64 // when the others' loads were told
-	hints    *cue.Holders
+	hints    *hint.Holders
 	buf      []uint64
 }
 
 // StoreNode is the holder that stands for a store.
-func StoreNode(addr string) uint64 { return cue.NodeID("store "+addr, 0) }
+func StoreNode(addr string) uint64 { return hint.NodeID("store "+addr, 0) }
 
 // EngineNode is the holder that stands for one life of an engine.
-func EngineNode(id string) uint64 { return cue.NodeID(id, 0) }
+func EngineNode(id string) uint64 { return hint.NodeID(id, 0) }
 
 // New makes a picker for a proxy at site; hints may be written meanwhile.
-func New(site string, hints *cue.Holders) *Picker {
+func New(site string, hints *hint.Holders) *Picker {
 	return &Picker{F: Defaults(), site: site, hints: hints, seen: map[string]*seen{}}
 }
 
@@ -189,7 +189,7 @@
 }
 
 // held tells for each part which holders are hinted to keep it, under one salt.
-func (p *Picker) held(ks []cue.Key) []map[uint64]bool {
+func (p *Picker) held(ks []hint.Key) []map[uint64]bool {
 	out := make([]map[uint64]bool, len(ks))
 	for i, k := range ks {
 		p.buf = p.hints.Get(k, p.buf[:0])
@@ -223,10 +223,10 @@
 func shared(r *Request) int { return max(0, len(r.Parts)-1) }
 
 // Keys are the hint keys of a request's parts under a salt.
-func Keys(r *Request, salt string) []cue.Key {
-	ks := make([]cue.Key, 0, len(r.Parts))
+func Keys(r *Request, salt string) []hint.Key {
+	ks := make([]hint.Key, 0, len(r.Parts))
 	for _, x := range r.Parts {
-		ks = append(ks, cue.PartKey(salt, r.Model, x.ID))
+		ks = append(ks, hint.PartKey(salt, r.Model, x.ID))
 	}
 	return ks
 }
@@ -234,7 +234,7 @@
 // Pick chooses an engine, or none.
 func (p *Picker) Pick(now int64, r *Request) (Choice, bool) {
 	type salted struct {
-		ks   []cue.Key
+		ks   []hint.Key
 		held []map[uint64]bool
 		salt string
 	}
--- a/settle/example_test.go
+++ b/quorum/example_test.go
@@ -1,30 +1,30 @@
-package settle_test
+package quorum_test
 
 import (
 	"fmt"
 
-	"violetthread/settle"
+	"violetthread/quorum"
 )
 
 // Three voters in one process: the caller owns time, wires and disk, and this one
 // loses nothing.
 func Example() {
-	ro := settle.Roster{Rev: settle.Found(1)}
+	ro := quorum.Roster{Rev: quorum.Found(1)}
 	for i, n := range []string{"a", "b", "c"} {
-		ro.Voters = append(ro.Voters, settle.Voter{Name: n, Inc: uint64(i + 1), Num: uint16(i + 1)})
+		ro.Voters = append(ro.Voters, quorum.Voter{Name: n, Inc: uint64(i + 1), Num: uint16(i + 1)})
 	}
-	nodes := map[string]*settle.Node{}
+	nodes := map[string]*quorum.Node{}
 	disk := map[string]uint64{} // records kept so far
 	for i, n := range []string{"a", "b", "c"} {
-		nodes[n] = settle.New(settle.Defaults(n, uint64(i+1)), ro, 0, nil)
+		nodes[n] = quorum.New(quorum.Defaults(n, uint64(i+1)), ro, 0, nil)
 	}
 	var now int64
 	type step struct {
 		at string
-		o  settle.Out
+		o  quorum.Out
 	}
 	var todo []step
-	answer := map[uint64]settle.Answer{}
+	answer := map[uint64]quorum.Answer{}
 	run := func() {
 		for len(todo) > 0 {
 			s := todo[0]
@@ -48,16 +48,16 @@
 		}
 	}
 	owner := nodes["a"].Owner("greeting")
-	do := func(op settle.Op) settle.Answer {
+	do := func(op quorum.Op) quorum.Answer {
 		todo = append(todo, step{owner, nodes[owner].Do(now, op)})
 		run()
 		return answer[op.ID]
 	}
-	a := do(settle.Op{ID: 1, Kind: settle.OpPut, Key: "greeting", Val: []byte("hello"), Expect: 0})
-	fmt.Println(a.Status == settle.Done, a.Rev)
-	a = do(settle.Op{ID: 2, Kind: settle.OpPut, Key: "greeting", Val: []byte("late"), Expect: 0})
-	fmt.Println(a.Status == settle.Conflict, a.Rev)
-	a = do(settle.Op{ID: 3, Kind: settle.OpGet, Key: "greeting"})
+	a := do(quorum.Op{ID: 1, Kind: quorum.OpPut, Key: "greeting", Val: []byte("hello"), Expect: 0})
+	fmt.Println(a.Status == quorum.Done, a.Rev)
+	a = do(quorum.Op{ID: 2, Kind: quorum.OpPut, Key: "greeting", Val: []byte("late"), Expect: 0})
+	fmt.Println(a.Status == quorum.Conflict, a.Rev)
+	a = do(quorum.Op{ID: 3, Kind: quorum.OpGet, Key: "greeting"})
 	fmt.Println(string(a.Val))
 	// Output:
 	// true 1
--- a/settle/settle_test.go
+++ b/quorum/settle_test.go
@@ -1,4 +1,4 @@
-package settle
+package quorum
 
 import (
 	"fmt"
--- a/settle/types.go
+++ b/quorum/types.go
@@ -1,11 +1,11 @@
-// Package settle keeps small registers on a majority of synced disks.
+// Package quorum keeps small registers on a majority of synced disks.
 //
 // Keys hash to slots. A slot has one owner at a time; the owner wins an epoch
 // from a majority, reads back what they hold, finishes what is in doubt and
 // only then answers. There is no common log and no leader for all keys
 // (design §4). The package is pure: events go in, effects come out, and the
 // caller owns the clock, the wires and the disk.
-package settle
+package quorum
 
 import (
 	"hash/fnv"
--- a/sim/claims_test.go
+++ b/sim/claims_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"testing"
 
-	"violetthread/depository"
 	"violetthread/internal/wire"
-	"violetthread/settle"
+	"violetthread/quorum"
+	"violetthread/wal"
 )
 
 // TestClaimsWithoutEnd: two hundred once-only tickets a second find room for as long
@@ -18,17 +18,17 @@
 	w := NewWorld(5)
 	c := NewCore(w, 4)
 	c.era = era
-	c.rings = depository.Plan{Files: 32, Size: 64 << 10}
+	c.rings = wal.Plan{Files: 32, Size: 64 << 10}
 	c.Start()
 	h := w.NewHost("desk", "north", func() {})
 	h.Start()
-	got, most, n := map[settle.Status]int{}, 0, 0
-	late := map[settle.Status]int{}
+	got, most, n := map[quorum.Status]int{}, 0, 0
+	late := map[quorum.Status]int{}
 	eras := map[int]uint64{}
-	ask := func(i int, era uint64, nonce string, count map[settle.Status]int) {
+	ask := func(i int, era uint64, nonce string, count map[quorum.Status]int) {
 		r := c.Nodes[w.Rng.Intn(4)]
-		Call(h, r.Host, settle.Op{Kind: settle.OpClaim, Key: settle.ClaimKey(era, fmt.Sprintf("dealing-desk/order-%08d", i)), Val: []byte(nonce)}, 2_000_000,
-			func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) }, func(a settle.Answer) { count[a.Status]++ }, func() { count[0]++ })
+		Call(h, r.Host, quorum.Op{Kind: quorum.OpClaim, Key: quorum.ClaimKey(era, fmt.Sprintf("dealing-desk/order-%08d", i)), Val: []byte(nonce)}, 2_000_000,
+			func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) }, func(a quorum.Answer) { count[a.Status]++ }, func() { count[0]++ })
 	}
 	var next func()
 	next = func() {
@@ -57,12 +57,12 @@
 	}
 	room := int(int64(c.rings.Files)*c.rings.Size) / 4 * 3 / 4
 	t.Logf("%d claims: %v; asked for again: %v; %d eras; at most %d of %d bytes; a claim's record takes %d bytes",
-		n, got, late, c.newest(), most, room, len(wire.Rec(settle.Rec{Kind: settle.RecEntry, Slot: 9, Epoch: 1 << 18, Mark: settle.Ver{Epoch: 1 << 18, Seq: 1 << 20},
-			Settled: settle.Ver{Epoch: 1 << 18, Seq: 1 << 20}, Entry: settle.Entry{Key: "claim/12345/dealing-desk/order-00000001", Ver: settle.Ver{Epoch: 1 << 18, Seq: 1 << 20}, Rev: 1, Val: []byte("remisier4/k3f9a2b1c/ffffff")}})))
-	if got[settle.Done] != n || late[settle.Done] > 0 {
+		n, got, late, c.newest(), most, room, len(wire.Rec(quorum.Rec{Kind: quorum.RecEntry, Slot: 9, Epoch: 1 << 18, Mark: quorum.Ver{Epoch: 1 << 18, Seq: 1 << 20},
+			Settled: quorum.Ver{Epoch: 1 << 18, Seq: 1 << 20}, Entry: quorum.Entry{Key: "claim/12345/dealing-desk/order-00000001", Ver: quorum.Ver{Epoch: 1 << 18, Seq: 1 << 20}, Rev: 1, Val: []byte("remisier4/k3f9a2b1c/ffffff")}})))
+	if got[quorum.Done] != n || late[quorum.Done] > 0 {
 		t.Errorf("of %d claims %v; asked for again %v", n, got, late)
 	}
-	if late[settle.Closed] < n/4 || late[settle.Conflict] == 0 {
+	if late[quorum.Closed] < n/4 || late[quorum.Conflict] == 0 {
 		t.Errorf("asked for again: %v", late)
 	}
 	if most > room*9/10 {
--- a/sim/core.go
+++ b/sim/core.go
@@ -4,21 +4,21 @@
 	"errors"
 	"fmt"
 
-	"violetthread/depository"
 	"violetthread/internal/wire"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
+	"violetthread/wal"
 )
 
 // Core is the control nodes of a world.
 type Core struct {
 	w        *World
-	ro       settle.Roster
+	ro       quorum.Roster
 	Nodes    []*Registrar
-	rings    depository.Plan
+	rings    wal.Plan
 	era      int64                 // how long an era of claims is the newest
 	onNew    func(*Registrar)      // what a fleet adds to a machine
-	drop     func(settle.Msg) bool // messages that get lost, for directed days
+	drop     func(quorum.Msg) bool // messages that get lost, for directed days
 	stepping bool                  // an operator is changing the roster
 	Steps    int                   // how often that was done
 	armed    bool                  // power goes at the next acknowledgement
@@ -35,30 +35,30 @@
 	Disk    *Disk
 	inc     uint64
 	lost    bool          // this machine is gone for good
-	ro      settle.Roster // as founded or last told
-	ring    *depository.Ring
-	node    *settle.Node
+	ro      quorum.Roster // as founded or last told
+	ring    *wal.Log
+	node    *quorum.Node
 	issued  uint64
 	syncing bool
 	under   bool         // a checkpoint is being written
-	parts   []settle.Rec // what is still to come of it
+	parts   []quorum.Rec // what is still to come of it
 	Ckpts   int
 	era     uint64 // newest that it heard of
 	ops     uint64
-	waiting map[uint64]func(settle.Answer)
+	waiting map[uint64]func(quorum.Answer)
 	Dead    error // of its disk
 }
 
 // A small ring, so that core days write checkpoints.
-var smallRing = depository.Plan{Files: 10, Size: 18 << 10}
+var smallRing = wal.Plan{Files: 10, Size: 18 << 10}
 
 // NewCore adds n control nodes.
 func NewCore(w *World, n int) *Core {
 	c := &Core{w: w, era: 800_000, rings: smallRing}
-	c.ro.Rev = settle.Found(7)
+	c.ro.Rev = quorum.Found(7)
 	for i := 0; i < n; i++ {
 		r := c.newNode()
-		c.ro.Voters = append(c.ro.Voters, settle.Voter{Name: r.Name, Addr: r.Name, Inc: r.inc, Num: uint16(i + 1)})
+		c.ro.Voters = append(c.ro.Voters, quorum.Voter{Name: r.Name, Addr: r.Name, Inc: r.inc, Num: uint16(i + 1)})
 		r.ro = c.ro
 	}
 	for _, r := range c.Nodes {
@@ -97,14 +97,14 @@
 }
 
 func (r *Registrar) start() {
-	r.waiting, r.issued, r.syncing, r.under, r.Dead, r.era = map[uint64]func(settle.Answer){}, 0, false, false, nil, 0
-	ring, raw, err := depository.Open(r.Disk, r.core.rings)
+	r.waiting, r.issued, r.syncing, r.under, r.Dead, r.era = map[uint64]func(quorum.Answer){}, 0, false, false, nil, 0
+	ring, raw, err := wal.Open(r.Disk, r.core.rings)
 	if err != nil {
 		r.die(err)
 		return
 	}
 	r.ring = ring
-	var recs []settle.Rec
+	var recs []quorum.Rec
 	for _, b := range raw {
 		c, _, err := wire.Unrec(b)
 		if err != nil {
@@ -113,12 +113,12 @@
 		}
 		recs = append(recs, c)
 	}
-	p := settle.Defaults(r.Name, r.inc)
+	p := quorum.Defaults(r.Name, r.inc)
 	p.EraTerm, p.Eras = r.core.era, 3
 	p.Limit = int(int64(r.core.rings.Files) * r.core.rings.Size / 4)
 	r.node = nil
 	if len(r.ro.Voters) > 0 {
-		r.node = settle.New(p, r.ro, r.Clock(), recs)
+		r.node = quorum.New(p, r.ro, r.Clock(), recs)
 	} else if r.core.heals {
 		at := r.core.w.now
 		r.Every(50_000, func() { r.beLetIn(p, at) })
@@ -140,19 +140,19 @@
 }
 
 // join asks another machine for a roster that holds this disk.
-func (r *Registrar) join(p settle.Plan) {
+func (r *Registrar) join(p quorum.Plan) {
 	if r.node != nil {
 		return
 	}
 	o := r.core.Nodes[r.core.w.Rng.Intn(len(r.core.Nodes))]
-	Call(r.Host, o.Host, 0, 300_000, func(_ int, rep func(settle.Roster)) {
+	Call(r.Host, o.Host, 0, 300_000, func(_ int, rep func(quorum.Roster)) {
 		if o.node != nil {
 			rep(o.node.Roster())
 		}
-	}, func(ro settle.Roster) {
+	}, func(ro quorum.Roster) {
 		if v, ok := ro.Find(r.Name); ok && v.Inc == r.inc && r.node == nil {
 			r.ro = ro
-			r.node = settle.New(p, ro, r.Clock(), nil)
+			r.node = quorum.New(p, ro, r.Clock(), nil)
 			r.core.w.Note("%s joins at step %d", r.Name, ro.Step())
 		}
 	}, func() {})
@@ -166,27 +166,27 @@
 
 // beLetIn asks all other machines for a place in their roster, as the daemon of a blank
 // disk does.
-func (r *Registrar) beLetIn(p settle.Plan, at int64) {
+func (r *Registrar) beLetIn(p quorum.Plan, at int64) {
 	if r.node != nil {
 		return
 	}
-	me := settle.Voter{Name: r.Name, Addr: r.Name, Inc: r.inc}
+	me := quorum.Voter{Name: r.Name, Addr: r.Name, Inc: r.inc}
 	for _, o := range r.core.Nodes {
 		if o == r {
 			continue
 		}
-		Call(r.Host, o.Host, 0, 500_000, func(_ int, rep func(settle.Roster)) {
+		Call(r.Host, o.Host, 0, 500_000, func(_ int, rep func(quorum.Roster)) {
 			if o.node != nil && o.Dead == nil {
 				ro := o.node.Roster()
 				o.out(o.node.Admit(o.Clock(), me))
 				rep(ro)
 			}
-		}, func(ro settle.Roster) {
+		}, func(ro quorum.Roster) {
 			if r.node != nil || !r.holds(ro) {
 				return
 			}
 			r.ro = ro
-			r.node = settle.New(p, ro, r.Clock(), nil)
+			r.node = quorum.New(p, ro, r.Clock(), nil)
 			r.core.w.Note("%s joins at step %d", r.Name, ro.Step())
 			r.core.Joined++
 			var firm func()
@@ -202,7 +202,7 @@
 	}
 }
 
-func (r *Registrar) holds(ro settle.Roster) bool {
+func (r *Registrar) holds(ro quorum.Roster) bool {
 	v, ok := ro.Find(r.Name)
 	return ok && v.Inc == r.inc
 }
@@ -220,11 +220,11 @@
 			if o == r {
 				continue
 			}
-			Call(r.Host, o.Host, 0, 500_000, func(_ int, rep func(settle.Roster)) {
+			Call(r.Host, o.Host, 0, 500_000, func(_ int, rep func(quorum.Roster)) {
 				if o.node != nil && o.Dead == nil {
 					rep(o.node.Roster())
 				}
-			}, func(ro settle.Roster) {
+			}, func(ro quorum.Roster) {
 				if r.node != nil && r.Dead == nil {
 					r.out(r.node.Learn(r.Clock(), ro))
 				}
@@ -243,7 +243,7 @@
 		return
 	}
 	r.core.w.Note("%s is retired, and is %d from now on", r.Name, inc)
-	r.inc, r.ro = inc, settle.Roster{}
+	r.inc, r.ro = inc, quorum.Roster{}
 	r.Kill()
 	r.Start()
 }
@@ -252,19 +252,19 @@
 func (r *Registrar) lose() {
 	r.Kill()
 	r.Disk.Wipe()
-	r.inc, r.ro = r.core.newInc(), settle.Roster{}
+	r.inc, r.ro = r.core.newInc(), quorum.Roster{}
 }
 
 func (r *Registrar) die(err error) {
 	r.Dead = err
-	if errors.Is(err, depository.ErrCorrupt) {
+	if errors.Is(err, wal.ErrCorrupt) {
 		r.core.w.Wrong("ring", "%s can't read its ring: %v", r.Name, err)
 	}
 	r.node = nil
 	r.Kill()
 }
 
-func (r *Registrar) out(o settle.Out) {
+func (r *Registrar) out(o quorum.Out) {
 	for _, e := range o.Events {
 		r.core.w.Note("%s %s", r.Name, e)
 	}
@@ -298,7 +298,7 @@
 }
 
 // recv takes a message through the very codec of the wires.
-func (r *Registrar) recv(m settle.Msg) {
+func (r *Registrar) recv(m quorum.Msg) {
 	if r.node == nil || r.Dead != nil || r.core.drop != nil && r.core.drop(m) {
 		return
 	}
@@ -369,9 +369,9 @@
 }
 
 // Do starts an operation on this node.
-func (r *Registrar) Do(op settle.Op, f func(settle.Answer)) {
+func (r *Registrar) Do(op quorum.Op, f func(quorum.Answer)) {
 	if r.node == nil || r.Dead != nil {
-		f(settle.Answer{Status: settle.NotOwner})
+		f(quorum.Answer{Status: quorum.NotOwner})
 		return
 	}
 	r.ops++
@@ -381,20 +381,20 @@
 }
 
 // Op carries an operation to the owner, as the daemons do, with one hop.
-func (r *Registrar) Op(op settle.Op, hops int, reply func(settle.Answer)) {
-	r.Do(op, func(a settle.Answer) {
-		if a.Status != settle.NotOwner || a.Owner == "" || a.Owner == r.Name || hops >= 2 {
+func (r *Registrar) Op(op quorum.Op, hops int, reply func(quorum.Answer)) {
+	r.Do(op, func(a quorum.Answer) {
+		if a.Status != quorum.NotOwner || a.Owner == "" || a.Owner == r.Name || hops >= 2 {
 			reply(a)
 			return
 		}
 		for _, p := range r.core.Nodes {
 			if p.Name == a.Owner {
-				Call(r.Host, p.Host, op, 700_000, func(q settle.Op, rep func(settle.Answer)) { p.Op(q, hops+1, rep) },
-					reply, func() { reply(settle.Answer{Status: settle.Unknown}) })
+				Call(r.Host, p.Host, op, 700_000, func(q quorum.Op, rep func(quorum.Answer)) { p.Op(q, hops+1, rep) },
+					reply, func() { reply(quorum.Answer{Status: quorum.Unknown}) })
 				return
 			}
 		}
-		reply(settle.Answer{Status: settle.NotOwner})
+		reply(quorum.Answer{Status: quorum.NotOwner})
 	})
 }
 
--- a/sim/core_test.go
+++ b/sim/core_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"violetthread/settle"
+	"violetthread/quorum"
 )
 
 // TestCoreDays: control nodes under every kind of failure keep acknowledged
@@ -41,14 +41,14 @@
 	s := newStage(t, 1, "plan")
 	s.put("plan", "v1")
 	lost := 0
-	s.c.drop = func(m settle.Msg) bool {
-		if m.Kind == settle.WriteOK {
+	s.c.drop = func(m quorum.Msg) bool {
+		if m.Kind == quorum.WriteOK {
 			lost++
 		}
-		return m.Kind == settle.WriteOK
+		return m.Kind == quorum.WriteOK
 	}
 	s.w.At(s.w.now+300_000, func() { s.c.drop = nil })
-	if a := s.put("plan", "v2"); a.Status != settle.Done || lost == 0 {
+	if a := s.put("plan", "v2"); a.Status != quorum.Done || lost == 0 {
 		t.Fatalf("%d words lost: %+v", lost, a)
 	}
 	if len(s.w.wrong) > 0 {
@@ -70,12 +70,12 @@
 func TestFailedCandidateFollows(t *testing.T) {
 	s := newStage(t, 1, "plan")
 	s.put("plan", "v1")
-	o, i := s.settle(), settle.SlotOf("plan", 16)
+	o, i := s.settle(), quorum.SlotOf("plan", 16)
 	r := s.c.Nodes[0]
 	if r == o {
 		r = s.c.Nodes[1]
 	}
-	at := func(r *Registrar) settle.Slot { return r.node.Slots(r.Clock())[i] }
+	at := func(r *Registrar) quorum.Slot { return r.node.Slots(r.Clock())[i] }
 	s.w.Cut(o.Name, r.Name)
 	s.w.Run(s.w.now + 4_000_000)
 	if at(r).Epoch <= at(o).Epoch {
--- a/sim/engines.go
+++ b/sim/engines.go
@@ -3,10 +3,10 @@
 import (
 	"sort"
 
-	"violetthread/blotter"
-	"violetthread/cue"
-	"violetthread/custody"
-	"violetthread/desk"
+	"violetthread/attempt"
+	"violetthread/dispatch"
+	"violetthread/hint"
+	"violetthread/index"
 )
 
 // Engine is a simulated engine, or the store. It counts for the judge.
@@ -15,9 +15,9 @@
 	f       *Fleet
 	store   bool
 	inc     uint64
-	kept    map[cue.Key]made
-	order   []cue.Key
-	events  []custody.Event
+	kept    map[hint.Key]made
+	order   []hint.Key
+	events  []index.Event
 	seq     uint64
 	weights string
 	turning string
@@ -65,13 +65,13 @@
 
 func (e *Engine) start() {
 	e.inc = uint64(e.f.W.Rng.Int63())
-	e.kept, e.order, e.events, e.seq, e.turning, e.epoch, e.runs = map[cue.Key]made{}, nil, nil, 0, "", 0, map[string]*run{}
+	e.kept, e.order, e.events, e.seq, e.turning, e.epoch, e.runs = map[hint.Key]made{}, nil, nil, 0, "", 0, map[string]*run{}
 	e.weights = e.named
 }
 
-func (e *Engine) id() uint64 { return cue.NodeID(e.Name, e.inc) }
+func (e *Engine) id() uint64 { return hint.NodeID(e.Name, e.inc) }
 
-func (e *Engine) tell(v custody.Event) {
+func (e *Engine) tell(v index.Event) {
 	e.seq++
 	v.Seq = e.seq
 	if e.f.W.Rng.Intn(1000) < e.f.MuteNews {
@@ -83,29 +83,29 @@
 	}
 }
 
-func (e *Engine) keep(k cue.Key, m made) {
+func (e *Engine) keep(k hint.Key, m made) {
 	if _, ok := e.kept[k]; ok {
 		return
 	}
 	e.kept[k] = m
 	e.order = append(e.order, k)
-	e.tell(custody.Event{Keep: true, Part: k, HasPart: true})
+	e.tell(index.Event{Keep: true, Part: k, HasPart: true})
 	if len(e.order) > e.most {
 		o := e.order[0]
 		e.order = e.order[1:]
 		m := e.kept[o]
 		delete(e.kept, o)
-		e.tell(custody.Event{Drop: true, Part: o, HasPart: true})
+		e.tell(index.Event{Drop: true, Part: o, HasPart: true})
 		if st := e.f.engine("store"); !e.store && st != nil {
 			e.Send(st.Host, func() { st.keep(o, m) })
 		}
 	}
 }
 
-func (e *Engine) keeps() []cue.Key { return append([]cue.Key(nil), e.order...) }
+func (e *Engine) keeps() []hint.Key { return append([]hint.Key(nil), e.order...) }
 
-func (e *Engine) report(inc, after uint64) custody.Report {
-	r := custody.Report{Inc: e.inc, Weights: e.weights, Running: len(e.runs), Room: e.room, Last: e.seq}
+func (e *Engine) report(inc, after uint64) index.Report {
+	r := index.Report{Inc: e.inc, Weights: e.weights, Running: len(e.runs), Room: e.room, Last: e.seq}
 	if e.turning != "" {
 		r.Room = 0
 	}
@@ -144,9 +144,9 @@
 		e.named = e.weights
 	}
 	for _, k := range e.order {
-		e.tell(custody.Event{Drop: true, Part: k, HasPart: true})
+		e.tell(index.Event{Drop: true, Part: k, HasPart: true})
 	}
-	e.kept, e.order = map[cue.Key]made{}, nil
+	e.kept, e.order = map[hint.Key]made{}, nil
 	e.f.W.Note("%s turned to %s", e.Name, e.weights)
 }
 
@@ -155,7 +155,7 @@
 	f     *Fleet
 	s     *send
 	p     *Proxy
-	a     desk.Act
+	a     dispatch.Act
 	e     *Engine
 	life  int
 	plife int
@@ -194,10 +194,10 @@
 // broke tells the proxy that the wire broke off.
 func (r *run) broke() {
 	r.ended = true
-	r.reply(500, func() { r.end(blotter.Broken, "engine-lost") })
+	r.reply(500, func() { r.end(attempt.Broken, "engine-lost") })
 }
 
-func (r *run) end(s blotter.State, cause string) {
+func (r *run) end(s attempt.State, cause string) {
 	if !r.over {
 		r.over = true
 		r.p.note(r.a, s, cause)
@@ -241,7 +241,7 @@
 		why = "busy"
 	}
 	if why != "" {
-		r.reply(400, func() { r.end(blotter.NeverBegan, why) })
+		r.reply(400, func() { r.end(attempt.NeverBegan, why) })
 		return
 	}
 	e.epoch = a.Order.Epoch
@@ -282,7 +282,7 @@
 	e.f.Seen.Taken += have - own
 	r.reply(400, func() {
 		if !r.over {
-			r.p.note(a, blotter.Began, "")
+			r.p.note(a, attempt.Began, "")
 		}
 	})
 	fill := vain + int64(len(a.Chain)-have)*4_000
@@ -298,7 +298,7 @@
 				e.keep(k, fresh)
 			}
 		}
-		e.tell(custody.Event{Ran: a.Attempt, Filled: uint64(len(a.Chain) - have)})
+		e.tell(index.Event{Ran: a.Attempt, Filled: uint64(len(a.Chain) - have)})
 		e.step(r)
 	})
 }
@@ -323,5 +323,5 @@
 		return
 	}
 	r.stop()
-	r.reply(400, func() { r.end(blotter.Finished, "") })
+	r.reply(400, func() { r.end(attempt.Finished, "") })
 }
--- a/sim/faults.go
+++ b/sim/faults.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"violetthread/settle"
+	"violetthread/quorum"
 )
 
 // Fault is a kind of failure that Core's days bring about.
@@ -226,8 +226,8 @@
 }
 
 // voters are the machines in the newest roster that any of them has.
-func (c *Core) voters() (settle.Roster, []*Registrar) {
-	var ro settle.Roster
+func (c *Core) voters() (quorum.Roster, []*Registrar) {
+	var ro quorum.Roster
 	for _, r := range c.Nodes {
 		if r.node != nil && r.node.Roster().Rev > ro.Rev {
 			ro = r.node.Roster()
@@ -268,19 +268,19 @@
 			c.Steps++
 			return
 		}
-		next, err := ro.Next(old.Name, &settle.Voter{Name: n.Name, Inc: n.inc})
+		next, err := ro.Next(old.Name, &quorum.Voter{Name: n.Name, Inc: n.inc})
 		if err != nil {
 			w.Wrong("roster", "%v", err)
 			return
 		}
 		r := in[w.Rng.Intn(len(in))]
-		Call(op, r.Host, settle.Op{Kind: settle.OpGet, Key: settle.RosterKey}, 900_000, func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) },
-			func(a settle.Answer) {
-				if a.Status != settle.Done {
+		Call(op, r.Host, quorum.Op{Kind: quorum.OpGet, Key: quorum.RosterKey}, 900_000, func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) },
+			func(a quorum.Answer) {
+				if a.Status != quorum.Done {
 					return
 				}
-				Call(op, r.Host, settle.Op{Kind: settle.OpPut, Key: settle.RosterKey, Val: next.Bytes(), Expect: a.Rev}, 900_000,
-					func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) }, func(settle.Answer) {}, func() {})
+				Call(op, r.Host, quorum.Op{Kind: quorum.OpPut, Key: quorum.RosterKey, Val: next.Bytes(), Expect: a.Rev}, 900_000,
+					func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) }, func(quorum.Answer) {}, func() {})
 			}, func() {})
 		op.After(300_000, try)
 	}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -4,17 +4,17 @@
 	"fmt"
 	"slices"
 
-	"violetthread/blotter"
-	"violetthread/cue"
-	"violetthread/custody"
-	"violetthread/depository"
-	"violetthread/desk"
-	"violetthread/floor"
+	"violetthread/agent"
+	"violetthread/attempt"
+	"violetthread/dispatch"
+	"violetthread/hint"
+	"violetthread/index"
 	"violetthread/internal/wire"
+	"violetthread/membership"
 	"violetthread/plan"
-	"violetthread/roll"
+	"violetthread/quorum"
 	"violetthread/schema/fb"
-	"violetthread/settle"
+	"violetthread/wal"
 )
 
 // Fleet is a whole fleet: control nodes, index nodes, proxies with their agents,
@@ -27,7 +27,7 @@
 	Runners    []*Runner
 	Engines    []*Engine
 	Platform   *Host
-	listing    []custody.Listed
+	listing    []index.Listed
 	side       map[*Registrar]*side
 	judge      *judge
 	callers    *Host
@@ -60,7 +60,7 @@
 
 // side is what a registrar does beside voting: sessions and the plan's cache.
 type side struct {
-	roll *roll.Roll
+	roll *membership.Roll
 	held plan.Held
 }
 
@@ -74,7 +74,7 @@
 	w := NewWorld(seed)
 	f := &Fleet{W: w, Core: NewCore(w, 4), side: map[*Registrar]*side{}}
 	f.Core.era = 4_000_000
-	f.Core.rings = depository.Plan{Files: 16, Size: 64 << 10}
+	f.Core.rings = wal.Plan{Files: 16, Size: 64 << 10}
 	f.judge = newJudge(f)
 	f.Platform = w.NewHost("platform", "north", func() {})
 	f.Platform.Start()
@@ -86,12 +86,12 @@
 	for i := 0; i < z.Engines; i++ {
 		e := newEngine(f, fmt.Sprintf("e%02d", i), sites[i%len(sites)], false)
 		f.Engines = append(f.Engines, e)
-		f.listing = append(f.listing, custody.Listed{Name: e.Name, Addr: e.Name, Site: e.Site})
+		f.listing = append(f.listing, index.Listed{Name: e.Name, Addr: e.Name, Site: e.Site})
 		e.Start()
 	}
 	st := newEngine(f, "store", sites[0], true)
 	f.Engines = append(f.Engines, st)
-	f.listing = append(f.listing, custody.Listed{Name: "store", Addr: "store", Site: sites[0], Store: true})
+	f.listing = append(f.listing, index.Listed{Name: "store", Addr: "store", Site: sites[0], Store: true})
 	st.Start()
 	for i := 0; i < 4; i++ {
 		c := &Custodian{f: f}
@@ -121,25 +121,25 @@
 		if r.Dead != nil {
 			return
 		}
-		s := &side{roll: roll.New(r.Name)}
+		s := &side{roll: membership.New(r.Name)}
 		f.side[r] = s
 		r.Every(150_000, func() {
 			at := r.Clock()
-			get := settle.Op{Kind: settle.OpGet, Key: planKey}
-			take := func(a settle.Answer) bool {
-				if a.Status == settle.Done && f.side[r] == s {
+			get := quorum.Op{Kind: quorum.OpGet, Key: planKey}
+			take := func(a quorum.Answer) bool {
+				if a.Status == quorum.Done && f.side[r] == s {
 					s.held, _, _ = s.held.Take(plan.Word{Rev: a.Rev, Raw: a.Val, Fresh: true}, at)
 				}
-				return a.Status == settle.Done
+				return a.Status == quorum.Done
 			}
-			r.Op(get, 0, func(a settle.Answer) {
+			r.Op(get, 0, func(a quorum.Answer) {
 				o := f.Core.Nodes[w.Rng.Intn(len(f.Core.Nodes))]
 				if take(a) || o == r {
 					return
 				}
 				// The way to the owner may be cut here and not elsewhere.
-				Call(r.Host, o.Host, get, 600_000, func(q settle.Op, rep func(settle.Answer)) { o.Op(q, 1, rep) },
-					func(a settle.Answer) { take(a) }, func() {})
+				Call(r.Host, o.Host, get, 600_000, func(q quorum.Op, rep func(quorum.Answer)) { o.Op(q, 1, rep) },
+					func(a quorum.Answer) { take(a) }, func() {})
 			})
 		})
 		r.Every(300_000, func() {
@@ -225,19 +225,19 @@
 }
 
 // op carries an operation through registrars until one answers for the owner.
-func (f *Fleet) op(h *Host, m *member, at int, op settle.Op, left int64, end func(settle.Answer, bool)) {
+func (f *Fleet) op(h *Host, m *member, at int, op quorum.Op, left int64, end func(quorum.Answer, bool)) {
 	r := m.known[at%len(m.known)]
 	t0 := f.W.now
 	next := func() {
-		if l := left - (f.W.now - t0); l > 30_000 && op.Kind != settle.OpPut {
+		if l := left - (f.W.now - t0); l > 30_000 && op.Kind != quorum.OpPut {
 			h.After(20_000, func() { f.op(h, m, at+1, op, l-20_000, end) })
 		} else {
-			end(settle.Answer{}, false)
+			end(quorum.Answer{}, false)
 		}
 	}
-	Call(h, r.Host, op, min(left, 900_000), func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) },
-		func(a settle.Answer) {
-			if a.Status == settle.NotOwner || a.Status == settle.Unknown {
+	Call(h, r.Host, op, min(left, 900_000), func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) },
+		func(a quorum.Answer) {
+			if a.Status == quorum.NotOwner || a.Status == quorum.Unknown {
 				next()
 				return
 			}
@@ -250,7 +250,7 @@
 	*Host
 	f *Fleet
 	m member
-	k *custody.Keeper
+	k *index.Keeper
 	// leaving: it was stopped politely, gives its duties back and then ends.
 	leaving bool
 }
@@ -259,7 +259,7 @@
 	f, w := c.f, c.f.W
 	c.m, c.leaving = member{}, false
 	inc := uint64(w.Rng.Int63()) >> 24
-	c.k = custody.New(c.Name, c.Site, inc)
+	c.k = index.New(c.Name, c.Site, inc)
 	holder := fmt.Sprintf("%s#%x", c.Name, inc)
 	k := c.k
 	f.beat(c.Host, &c.m, func() *fb.NodeT {
@@ -267,8 +267,8 @@
 	}, nil)
 	c.Every(200_000, func() {
 		at := c.Clock()
-		Call(c.Host, f.Platform, 0, 600_000, func(_ int, rep func([]custody.Listed)) { rep(slices.Clone(f.listing)) },
-			func(l []custody.Listed) { k.Listing(at, l) }, func() {
+		Call(c.Host, f.Platform, 0, 600_000, func(_ int, rep func([]index.Listed)) { rep(slices.Clone(f.listing)) },
+			func(l []index.Listed) { k.Listing(at, l) }, func() {
 				if !f.Platform.up { // its machine refuses connections
 					k.ListingStands(at)
 				}
@@ -290,12 +290,12 @@
 			}
 		}
 		for _, a := range k.Want(now) {
-			op := settle.Op{Kind: settle.OpHold, Key: a.Key, Expect: a.Epoch, Holder: holder, Term: custody.DutyTerm}
+			op := quorum.Op{Kind: quorum.OpHold, Key: a.Key, Expect: a.Epoch, Holder: holder, Term: index.DutyTerm}
 			if a.Free {
-				op.Kind = settle.OpFree
+				op.Kind = quorum.OpFree
 			}
-			f.op(c.Host, &c.m, w.Rng.Intn(4), op, 1_000_000, func(ans settle.Answer, ok bool) {
-				k.Held(c.Clock(), a, now, ok && ans.Status == settle.Done, ans.Rev)
+			f.op(c.Host, &c.m, w.Rng.Intn(4), op, 1_000_000, func(ans quorum.Answer, ok bool) {
+				k.Held(c.Clock(), a, now, ok && ans.Status == quorum.Done, ans.Rev)
 			})
 		}
 	})
@@ -313,15 +313,15 @@
 	c.Every(200_000, func() { c.news(k) })
 }
 
-func (c *Custodian) poll(k *custody.Keeper, p custody.Poll) {
+func (c *Custodian) poll(k *index.Keeper, p index.Poll) {
 	e := c.f.engine(p.Engine)
 	if e == nil {
 		return
 	}
 	ask := func(inc, after uint64) {
 		at := c.Clock()
-		Call(c.Host, e.Host, 0, 800_000, func(_ int, rep func(custody.Report)) { rep(e.report(inc, after)) },
-			func(r custody.Report) { k.Reported(c.Clock(), at, p.Engine, r) }, func() {})
+		Call(c.Host, e.Host, 0, 800_000, func(_ int, rep func(index.Report)) { rep(e.report(inc, after)) },
+			func(r index.Report) { k.Reported(c.Clock(), at, p.Engine, r) }, func() {})
 	}
 	if !p.Whole {
 		ask(p.Inc, p.After)
@@ -329,7 +329,7 @@
 	}
 	type whole struct {
 		inc, seq uint64
-		parts    []cue.Key
+		parts    []hint.Key
 	}
 	Call(c.Host, e.Host, 0, 800_000, func(_ int, rep func(whole)) { rep(whole{e.inc, e.seq, e.keeps()}) },
 		func(x whole) {
@@ -338,7 +338,7 @@
 		}, func() {})
 }
 
-func (c *Custodian) news(k *custody.Keeper) {
+func (c *Custodian) news(k *index.Keeper) {
 	cs, _ := wire.Custodians(c.m.nodes, c.Name)
 	for _, p := range cs {
 		o := c.f.custodian(p.Name)
@@ -361,7 +361,7 @@
 			cur := *k.SiteCursor(s, p.Name)
 			ask(&fb.NewsAskT{Kind: wire.SiteFeed, Site: s, Inc: cur.Inc, Since: cur.Next}, func(t *fb.NewsTellT) {
 				if *k.SiteCursor(s, p.Name) == cur {
-					k.SiteNews(s, p.Name, custody.ShardsOf(p), wire.Batch(t))
+					k.SiteNews(s, p.Name, index.ShardsOf(p), wire.Batch(t))
 				}
 			})
 		}
@@ -392,12 +392,12 @@
 	f     *Fleet
 	proxy string
 	m     member
-	g     *floor.Agent
+	g     *agent.Agent
 	node  *fb.NodeT
 }
 
 func (r *Runner) start() {
-	r.m, r.g = member{}, floor.New(r.proxy, r.Site)
+	r.m, r.g = member{}, agent.New(r.proxy, r.Site)
 	r.node = &fb.NodeT{Name: r.proxy, Role: "remisier", Site: r.Site}
 	g := r.g
 	r.f.beat(r.Host, &r.m, func() *fb.NodeT { return r.node }, nil)
@@ -422,9 +422,9 @@
 	*Host
 	f      *Fleet
 	runner *Runner
-	d      *desk.Desk
+	d      *dispatch.Desk
 	held   plan.Held
-	table  *cue.Table
+	table  *hint.Table
 	cur    wire.Cursor
 	inc    uint64
 	refs   uint64
@@ -451,7 +451,7 @@
 func (p *Proxy) start() {
 	f := p.f
 	p.inc = uint64(f.W.Rng.Int63()) >> 24
-	p.d, p.held, p.table, p.cur, p.calls = desk.New(p.Name, p.Site, p.inc), plan.Held{}, cue.NewTable(4096), wire.Cursor{}, map[uint64]*send{}
+	p.d, p.held, p.table, p.cur, p.calls = dispatch.New(p.Name, p.Site, p.inc), plan.Held{}, hint.NewTable(4096), wire.Cursor{}, map[uint64]*send{}
 	d := p.d
 	p.Every(100_000, func() {
 		q := wire.FeedAsk(d, &fb.FeedAskT{Node: &fb.NodeT{Name: p.Name, Role: "remisier", Site: p.Site, Inc: p.inc, Ready: true},
@@ -475,7 +475,7 @@
 			f.callerEra = max(f.callerEra, t.Era)
 		}, func() {})
 	})
-	p.Every(desk.TickEvery, func() { p.carry(d.Tick(p.Clock())) })
+	p.Every(dispatch.TickEvery, func() { p.carry(d.Tick(p.Clock())) })
 }
 
 // died tells callers and engines that their wires broke.
@@ -515,8 +515,8 @@
 	now := p.Clock()
 	s.due = f.W.now + dueUS // it counts from arrival
 	c := p.held.Plan
-	refused := func(why string) { f.ended(s, blotter.Refused, why) }
-	if c == nil || p.held.Age(now) > desk.PlanLimit {
+	refused := func(why string) { f.ended(s, attempt.Refused, why) }
+	if c == nil || p.held.Age(now) > dispatch.PlanLimit {
 		refused("plan-not-fresh")
 		return
 	}
@@ -526,15 +526,15 @@
 		return
 	}
 	p.refs++
-	t := desk.Ticket{Ref: p.refs, ID: s.id, Own: true, Era: s.era, Group: g, Kind: s.kind, Digest: s.digest, Due: now + dueUS, Prompt: prompt, Weights: c.Weights, Domain: c.Domain(g, c.Weights)}
-	t.Chain = cue.Chain(t.Domain, t.Weights, prompt)
+	t := dispatch.Ticket{Ref: p.refs, ID: s.id, Own: true, Era: s.era, Group: g, Kind: s.kind, Digest: s.digest, Due: now + dueUS, Prompt: prompt, Weights: c.Weights, Domain: c.Domain(g, c.Weights)}
+	t.Chain = hint.Chain(t.Domain, t.Weights, prompt)
 	for i := len(t.Chain) - 1; i >= 0 && len(t.Hints) < 4; i-- {
 		n, ok := p.table.Get(t.Chain[i])
 		for _, h := range t.Hints {
 			ok = ok && h.Node != n
 		}
 		if ok {
-			t.Hints = append(t.Hints, cue.Hint{Part: i, Node: n})
+			t.Hints = append(t.Hints, hint.Hint{Part: i, Node: n})
 		}
 	}
 	s.rev, s.runs = c.Rev, map[string]*run{}
@@ -549,28 +549,28 @@
 	p.carry(acts)
 }
 
-func (p *Proxy) carry(acts []desk.Act) {
+func (p *Proxy) carry(acts []dispatch.Act) {
 	f := p.f
 	for _, a := range acts {
 		s := p.calls[a.Ref]
 		switch a.Do {
-		case desk.DoClaim, desk.DoRelease:
-			op := settle.Op{Kind: settle.OpClaim, Key: a.Claim, Val: []byte(a.Nonce)}
-			if a.Do == desk.DoRelease {
-				op.Kind = settle.OpUnclaim
+		case dispatch.DoClaim, dispatch.DoRelease:
+			op := quorum.Op{Kind: quorum.OpClaim, Key: a.Claim, Val: []byte(a.Nonce)}
+			if a.Do == dispatch.DoRelease {
+				op.Kind = quorum.OpUnclaim
 			}
 			p.claim(a, op)
-		case desk.DoStart:
+		case dispatch.DoStart:
 			if s != nil {
 				p.startRun(s, a)
 			}
-		case desk.DoCancel:
+		case dispatch.DoCancel:
 			if s != nil {
 				if r := s.runs[a.Attempt]; r != nil {
 					r.cancel()
 				}
 			}
-		case desk.DoEnd:
+		case dispatch.DoEnd:
 			if s != nil {
 				delete(p.calls, a.Ref)
 				f.ended(s, a.Outcome, a.Reason)
@@ -580,50 +580,50 @@
 }
 
 // claim goes by the agent to the control nodes, as in the daemons.
-func (p *Proxy) claim(a desk.Act, op settle.Op) {
+func (p *Proxy) claim(a dispatch.Act, op quorum.Op) {
 	r := p.runner
-	Call(p.Host, r.Host, op, 2_000_000, func(q settle.Op, rep func(settle.Answer)) {
-		p.f.op(r.Host, &r.m, r.m.cur, q, 1_900_000, func(ans settle.Answer, ok bool) {
+	Call(p.Host, r.Host, op, 2_000_000, func(q quorum.Op, rep func(quorum.Answer)) {
+		p.f.op(r.Host, &r.m, r.m.cur, q, 1_900_000, func(ans quorum.Answer, ok bool) {
 			if !ok {
-				ans.Status = settle.Unknown
+				ans.Status = quorum.Unknown
 			}
 			rep(ans)
 		})
-	}, func(ans settle.Answer) {
-		if a.Do != desk.DoClaim {
+	}, func(ans quorum.Answer) {
+		if a.Do != dispatch.DoClaim {
 			return
 		}
-		c := map[settle.Status]blotter.Claim{settle.Done: blotter.Held, settle.Conflict: blotter.Taken, settle.Closed: blotter.Closed}[ans.Status]
-		if c == blotter.Missing {
-			c = blotter.Doubtful
+		c := map[quorum.Status]attempt.Claim{quorum.Done: attempt.Held, quorum.Conflict: attempt.Taken, quorum.Closed: attempt.Closed}[ans.Status]
+		if c == attempt.Missing {
+			c = attempt.Doubtful
 		}
 		p.carry(p.d.Claimed(p.Clock(), a.Ref, c))
 	}, func() {
-		if a.Do == desk.DoClaim {
-			p.carry(p.d.Claimed(p.Clock(), a.Ref, blotter.Doubtful))
+		if a.Do == dispatch.DoClaim {
+			p.carry(p.d.Claimed(p.Clock(), a.Ref, attempt.Doubtful))
 		}
 	})
 }
 
-func (p *Proxy) note(a desk.Act, st blotter.State, cause string) {
+func (p *Proxy) note(a dispatch.Act, st attempt.State, cause string) {
 	p.carry(p.d.Note(p.Clock(), a.Ref, a.Attempt, st, cause))
 }
 
 // startRun dials an engine: a connection that fails is proof that nothing began.
-func (p *Proxy) startRun(s *send, a desk.Act) {
+func (p *Proxy) startRun(s *send, a dispatch.Act) {
 	f := p.f
 	s.attempts = append(s.attempts, a.Attempt)
 	e := f.engine(a.Order.Addr)
 	if p.Clock() > a.Until {
-		p.After(1, func() { p.note(a, blotter.NeverBegan, "woke-late") })
+		p.After(1, func() { p.note(a, attempt.NeverBegan, "woke-late") })
 		return
 	}
 	if e == nil || !e.up {
-		p.After(300, func() { p.note(a, blotter.NeverBegan, "unreachable") })
+		p.After(300, func() { p.note(a, attempt.NeverBegan, "unreachable") })
 		return
 	}
 	if e.frozen || f.W.cut[[2]string{p.Name, e.Name}] || f.W.cut[[2]string{e.Name, p.Name}] {
-		p.After(400_000, func() { p.note(a, blotter.NeverBegan, "unreachable") })
+		p.After(400_000, func() { p.note(a, attempt.NeverBegan, "unreachable") })
 		return
 	}
 	r := &run{f: f, s: s, p: p, a: a, e: e, life: e.life, plife: p.life}
@@ -652,7 +652,7 @@
 }
 
 // ended is what the caller is told last.
-func (f *Fleet) ended(s *send, o blotter.Outcome, why string) {
+func (f *Fleet) ended(s *send, o attempt.Outcome, why string) {
 	if s.ended {
 		f.W.Wrong("two ends", "%s/%s", s.group, s.id)
 	}
