--- a/sim/history.go
+++ b/sim/history.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"violetthread/settle"
+	"violetthread/quorum"
 )
 
 // A client drives one key and remembers what it was told, in true time.
@@ -72,17 +72,17 @@
 func (o *Operator) act() {
 	w := o.core.w
 	r := o.core.Nodes[w.Rng.Intn(len(o.core.Nodes))]
-	op := settle.Op{Kind: settle.OpGet, Key: o.h.key}
+	op := quorum.Op{Kind: quorum.OpGet, Key: o.h.key}
 	o.n++
 	if w.Rng.Intn(100) < o.puts {
-		op.Kind, op.Expect, op.Val = settle.OpPut, settle.AnyRev, []byte(fmt.Sprintf("%s-%d", o.Name, o.n))
+		op.Kind, op.Expect, op.Val = quorum.OpPut, quorum.AnyRev, []byte(fmt.Sprintf("%s-%d", o.Name, o.n))
 	}
 	from := w.now
-	Call(o.Host, r.Host, op, 900_000, func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) },
-		func(a settle.Answer) {
-			if a.Status == settle.Done {
-				o.h.add(seenOp{from, w.now, a.Rev, string(a.Val), op.Kind == settle.OpPut})
-				if op.Kind == settle.OpPut {
+	Call(o.Host, r.Host, op, 900_000, func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) },
+		func(a quorum.Answer) {
+			if a.Status == quorum.Done {
+				o.h.add(seenOp{from, w.now, a.Rev, string(a.Val), op.Kind == quorum.OpPut})
+				if op.Kind == quorum.OpPut {
 					o.core.acked()
 				}
 			}
@@ -109,10 +109,10 @@
 			h.Every(25_000, func() {
 				k++
 				era := max(1, c.newest())
-				x.claim(h, settle.ClaimKey(era, fmt.Sprintf("g/%d", k/2)), fmt.Sprintf("%s-%d-%d", h.Name, h.life, k))
+				x.claim(h, quorum.ClaimKey(era, fmt.Sprintf("g/%d", k/2)), fmt.Sprintf("%s-%d-%d", h.Name, h.life, k))
 				if k%8 == 0 {
 					// Much later somebody asks for what was long ago granted.
-					x.claim(h, settle.ClaimKey(max(1, era-min(era, uint64(c.w.Rng.Intn(9)))), fmt.Sprintf("g/%d", c.w.Rng.Intn(k/2+1))), fmt.Sprintf("%s-%d-%d-late", h.Name, h.life, k))
+					x.claim(h, quorum.ClaimKey(max(1, era-min(era, uint64(c.w.Rng.Intn(9)))), fmt.Sprintf("g/%d", c.w.Rng.Intn(k/2+1))), fmt.Sprintf("%s-%d-%d-late", h.Name, h.life, k))
 				}
 			})
 		}
@@ -131,13 +131,13 @@
 
 func (x *Claimers) claim(h *Host, key, nonce string) {
 	r := x.core.Nodes[x.core.w.Rng.Intn(len(x.core.Nodes))]
-	Call(h, r.Host, settle.Op{Kind: settle.OpClaim, Key: key, Val: []byte(nonce)}, 900_000,
-		func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) },
-		func(a settle.Answer) {
-			if a.Status == settle.Closed {
+	Call(h, r.Host, quorum.Op{Kind: quorum.OpClaim, Key: key, Val: []byte(nonce)}, 900_000,
+		func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) },
+		func(a quorum.Answer) {
+			if a.Status == quorum.Closed {
 				x.Late++
 			}
-			if a.Status != settle.Done {
+			if a.Status != quorum.Done {
 				return
 			}
 			if o := x.held[key]; o != "" && o != nonce {
@@ -178,10 +178,10 @@
 func (x *Holders) hold(h *Host, epoch *uint64) {
 	r := x.core.Nodes[x.core.w.Rng.Intn(len(x.core.Nodes))]
 	at := h.Clock()
-	Call(h, r.Host, settle.Op{Kind: settle.OpHold, Key: "duty/one", Expect: *epoch, Holder: fmt.Sprint(h.Name, "#", h.life), Term: simTerm}, 500_000,
-		func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) },
-		func(a settle.Answer) {
-			if a.Status != settle.Done {
+	Call(h, r.Host, quorum.Op{Kind: quorum.OpHold, Key: "duty/one", Expect: *epoch, Holder: fmt.Sprint(h.Name, "#", h.life), Term: simTerm}, 500_000,
+		func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) },
+		func(a quorum.Answer) {
+			if a.Status != quorum.Done {
 				return
 			}
 			if *epoch != a.Rev {
--- a/sim/judge.go
+++ b/sim/judge.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"slices"
 
-	"violetthread/blotter"
+	"violetthread/attempt"
 	"violetthread/plan"
-	"violetthread/settle"
+	"violetthread/quorum"
 )
 
 // The bounds of the brief, with what the judge allows for its own resolution.
@@ -34,7 +34,7 @@
 	runs    map[string]map[string]int // ticket -> attempt -> 1
 	done    map[string]int
 	lastOK  int64
-	onTold  func(*send, blotter.Outcome)
+	onTold  func(*send, attempt.Outcome)
 }
 
 // naming is one naming of weights: when its plan was sent, and acknowledged.
@@ -152,14 +152,14 @@
 	}
 }
 
-func (j *judge) told(s *send, o blotter.Outcome, why string) {
+func (j *judge) told(s *send, o attempt.Outcome, why string) {
 	f := j.f
 	k := s.group + "/" + s.id
 	if j.onTold != nil {
 		j.onTold(s, o)
 	}
 	switch o {
-	case blotter.Done:
+	case attempt.Done:
 		f.Seen.Done++
 		j.lastOK = f.W.now
 		if s.pieces != pieces {
@@ -168,7 +168,7 @@
 		if j.done[k]++; onceKinds[s.kind] && j.done[k] > 1 {
 			f.W.Wrong("done twice", "%s", k)
 		}
-	case blotter.Refused:
+	case attempt.Refused:
 		f.Seen.Refused++
 		if s.pieces > 0 {
 			f.W.Wrong("refused late", "%s was refused after a piece", k)
@@ -307,13 +307,13 @@
 	var try func(i int)
 	again := func(i int) { s.op.After(50_000, func() { try(i + 1) }) }
 	try = func(i int) {
-		s.ask(i, settle.Op{Kind: settle.OpGet, Key: planKey}, again, func(at settle.Answer) {
+		s.ask(i, quorum.Op{Kind: quorum.OpGet, Key: planKey}, again, func(at quorum.Answer) {
 			v, err := plan.Sealed(at.Val, b, at.Rev+1)
 			if err != nil {
 				s.f.W.Wrong("plan", "%v", err)
 				return
 			}
-			s.ask(i, settle.Op{Kind: settle.OpPut, Key: planKey, Val: v, Expect: at.Rev}, again, func(a settle.Answer) {
+			s.ask(i, quorum.Op{Kind: quorum.OpPut, Key: planKey, Val: v, Expect: at.Rev}, again, func(a quorum.Answer) {
 				s.busy = false
 				s.f.judge.acks = append(s.f.judge.acks, ack{s.f.W.now, a.Rev})
 				s.f.Seen.PlanAcks++
@@ -331,11 +331,11 @@
 }
 
 // ask carries an operator's operation to a control node.
-func (s *Script) ask(i int, op settle.Op, no func(int), yes func(settle.Answer)) {
+func (s *Script) ask(i int, op quorum.Op, no func(int), yes func(quorum.Answer)) {
 	r := s.f.Core.Nodes[i%len(s.f.Core.Nodes)] // an operator tries all that ever were
-	Call(s.op, r.Host, op, 1_500_000, func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) },
-		func(a settle.Answer) {
-			if a.Status != settle.Done {
+	Call(s.op, r.Host, op, 1_500_000, func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) },
+		func(a quorum.Answer) {
+			if a.Status != quorum.Done {
 				no(i)
 				return
 			}
--- a/sim/last.go
+++ b/sim/last.go
@@ -6,7 +6,7 @@
 	"sort"
 	"strings"
 
-	"violetthread/blotter"
+	"violetthread/attempt"
 )
 
 // LastFaults are single faults after which nothing is mended: service must come
@@ -179,8 +179,8 @@
 		told["plan"] = append(told["plan"], o)
 		s.Put(func() { o.done = w.now - at })
 	})
-	f.judge.onTold = func(x *send, o blotter.Outcome) {
-		if x.probe && o == blotter.Done {
+	f.judge.onTold = func(x *send, o attempt.Outcome) {
+		if x.probe && o == attempt.Done {
 			byID[x.id].done = w.now - at
 		}
 	}
--- a/sim/move_test.go
+++ b/sim/move_test.go
@@ -4,8 +4,8 @@
 	"slices"
 	"testing"
 
-	"violetthread/custody"
-	"violetthread/desk"
+	"violetthread/dispatch"
+	"violetthread/index"
 )
 
 // TestMoveCost: what it costs when an index node's duties move, because it died or
@@ -51,13 +51,13 @@
 				}
 				all := true
 				for _, e := range f.Engines {
-					if d := custody.EngineDuty(e.Name); !held[d] {
+					if d := index.EngineDuty(e.Name); !held[d] {
 						lone[d] += step
 						all = false
 					}
 				}
-				for i := 0; i < custody.Shards; i++ {
-					if d := custody.ShardDuty(i); !held[d] {
+				for i := 0; i < index.Shards; i++ {
+					if d := index.ShardDuty(i); !held[d] {
 						lone[d] += step
 						all = false
 					}
@@ -67,7 +67,7 @@
 				}
 				for _, p := range f.Proxies {
 					for _, e := range f.Engines {
-						if !e.store && p.d.OrderAge(p.Clock(), e.Name) > desk.OrderLimit {
+						if !e.store && p.d.OrderAge(p.Clock(), e.Name) > dispatch.OrderLimit {
 							idle += step
 						}
 					}
--- a/sim/operators_test.go
+++ b/sim/operators_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"violetthread/plan"
-	"violetthread/settle"
+	"violetthread/quorum"
 )
 
 // race is four operators at once: whole plans, patches, with and without a
@@ -50,9 +50,9 @@
 	reg := func() *Registrar { return r.c.Nodes[w.Rng.Intn(len(r.c.Nodes))] }
 	at := reg()
 	from := w.now
-	Call(h, at.Host, settle.Op{Kind: settle.OpGet, Key: planKey}, 900_000, func(q settle.Op, rep func(settle.Answer)) { at.Op(q, 0, rep) },
-		func(a settle.Answer) {
-			if a.Status != settle.Done {
+	Call(h, at.Host, quorum.Op{Kind: quorum.OpGet, Key: planKey}, 900_000, func(q quorum.Op, rep func(quorum.Answer)) { at.Op(q, 0, rep) },
+		func(a quorum.Answer) {
+			if a.Status != quorum.Done {
 				return
 			}
 			r.read(from, a)
@@ -67,11 +67,11 @@
 			}
 			_, was, _ := plan.Open(a.Val)
 			to, sent := reg(), w.now
-			Call(h, to.Host, settle.Op{Kind: settle.OpPut, Key: planKey, Val: sealed, Expect: a.Rev}, 900_000,
-				func(q settle.Op, rep func(settle.Answer)) { to.Op(q, 0, rep) },
-				func(b settle.Answer) {
+			Call(h, to.Host, quorum.Op{Kind: quorum.OpPut, Key: planKey, Val: sealed, Expect: a.Rev}, 900_000,
+				func(q quorum.Op, rep func(quorum.Answer)) { to.Op(q, 0, rep) },
+				func(b quorum.Answer) {
 					switch b.Status {
-					case settle.Done:
+					case quorum.Done:
 						if c.If && b.Rev != c.Rev+1 {
 							w.Wrong("precondition", "revision %d was given on condition of %d", b.Rev, c.Rev)
 						}
@@ -79,7 +79,7 @@
 						r.texts[b.Rev], r.base[b.Rev], r.how[b.Rev] = raw, was, c
 						r.done["in force"]++
 						r.c.acked()
-					case settle.Conflict:
+					case quorum.Conflict:
 						r.done["conflict"]++
 					default:
 						r.done["unknown"]++
@@ -89,7 +89,7 @@
 }
 
 // read judges what a registrar gives back.
-func (r *race) read(from int64, a settle.Answer) {
+func (r *race) read(from int64, a quorum.Answer) {
 	w := r.c.w
 	r.h.add(seenOp{from, w.now, a.Rev, string(a.Val), false})
 	_, raw, err := plan.Open(a.Val)
--- a/sim/phantom_test.go
+++ b/sim/phantom_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"violetthread/settle"
+	"violetthread/quorum"
 )
 
 // stage drives single nodes through a set course of events.
@@ -52,12 +52,12 @@
 }
 
 // do runs an operation on a node and tells the history when it is answered.
-func (s *stage) do(r *Registrar, op settle.Op) (a settle.Answer) {
+func (s *stage) do(r *Registrar, op quorum.Op) (a quorum.Answer) {
 	from := s.w.now
-	Call(s.n, r.Host, op, 2_000_000, func(q settle.Op, rep func(settle.Answer)) { r.Op(q, 0, rep) }, func(x settle.Answer) {
+	Call(s.n, r.Host, op, 2_000_000, func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) }, func(x quorum.Answer) {
 		a = x
-		if x.Status == settle.Done && op.Key == s.h.key {
-			s.h.add(seenOp{from, s.w.now, x.Rev, string(x.Val), op.Kind == settle.OpPut})
+		if x.Status == quorum.Done && op.Key == s.h.key {
+			s.h.add(seenOp{from, s.w.now, x.Rev, string(x.Val), op.Kind == quorum.OpPut})
 		}
 	}, func() {})
 	for end := s.w.now + 2_100_000; s.w.now < end && a.Status == 0; s.w.Run(s.w.now + 5_000) {
@@ -65,12 +65,12 @@
 	return a
 }
 
-func (s *stage) get() settle.Answer {
-	return s.do(s.settle(), settle.Op{Kind: settle.OpGet, Key: s.h.key})
+func (s *stage) get() quorum.Answer {
+	return s.do(s.settle(), quorum.Op{Kind: quorum.OpGet, Key: s.h.key})
 }
 
-func (s *stage) put(key, val string) settle.Answer {
-	return s.do(s.settle(), settle.Op{Kind: settle.OpPut, Key: key, Val: []byte(val), Expect: settle.AnyRev})
+func (s *stage) put(key, val string) quorum.Answer {
+	return s.do(s.settle(), quorum.Op{Kind: quorum.OpPut, Key: key, Val: []byte(val), Expect: quorum.AnyRev})
 }
 
 // torn makes the owner take a change that reaches nobody, and die of it.
@@ -79,7 +79,7 @@
 	for _, r := range s.c.Nodes {
 		s.w.Cut(o.Name, r.Name)
 	}
-	o.Do(settle.Op{Kind: settle.OpPut, Key: s.h.key, Val: []byte("torn"), Expect: settle.AnyRev}, func(settle.Answer) {})
+	o.Do(quorum.Op{Kind: quorum.OpPut, Key: s.h.key, Val: []byte("torn"), Expect: quorum.AnyRev}, func(quorum.Answer) {})
 	s.w.Run(s.w.now + 60_000)
 	o.Kill()
 	s.w.HealAll()
@@ -110,7 +110,7 @@
 // beside is a key of the same slot, whose changes move the slot's marks on.
 func beside(key string) string {
 	for i := 0; ; i++ {
-		if k := fmt.Sprint("beside", i); settle.SlotOf(k, 16) == settle.SlotOf(key, 16) {
+		if k := fmt.Sprint("beside", i); quorum.SlotOf(k, 16) == quorum.SlotOf(key, 16) {
 			return k
 		}
 	}
--- a/sim/retries_test.go
+++ b/sim/retries_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"violetthread/blotter"
+	"violetthread/attempt"
 )
 
 // TestRetriesFleetWide: nine proxies, one engine that breaks every run off, callers
@@ -19,8 +19,8 @@
 			w := f.W
 			e := f.engine("e03")
 			resent := 0
-			f.judge.onTold = func(x *send, o blotter.Outcome) {
-				if o != blotter.Done && !x.probe && x.why != "duplicate" && w.now < 24_000_000 {
+			f.judge.onTold = func(x *send, o attempt.Outcome) {
+				if o != attempt.Done && !x.probe && x.why != "duplicate" && w.now < 24_000_000 {
 					// A caller that sends again at once, elsewhere, under the same name.
 					resent++
 					y := &send{group: x.group, kind: x.kind, id: x.id, digest: x.digest, era: x.era, probe: true}
--- a/sim/shares_test.go
+++ b/sim/shares_test.go
@@ -5,7 +5,7 @@
 	"sort"
 	"testing"
 
-	"violetthread/blotter"
+	"violetthread/attempt"
 )
 
 // crowd is a group that sends a ticket every gap microseconds at some proxies,
@@ -128,15 +128,15 @@
 	s := NewScript(f)
 	w := f.W
 	got := map[string]portion{}
-	f.judge.onTold = func(x *send, o blotter.Outcome) {
+	f.judge.onTold = func(x *send, o attempt.Outcome) {
 		if x.born < crowdFrom {
 			return
 		}
 		g := got[x.group]
 		switch o {
-		case blotter.Done:
+		case attempt.Done:
 			g.done++
-		case blotter.Refused:
+		case attempt.Refused:
 			g.refused++
 			if w.now-x.born > (x.due-x.born)/2 {
 				g.late++
--- a/sim/waves_test.go
+++ b/sim/waves_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"violetthread/blotter"
+	"violetthread/attempt"
 )
 
 // TestWaves: new weights reach a fleet of full size in waves over all of it, also
@@ -22,8 +22,8 @@
 		w.At(6_000_000, s.Name)
 		w.At(8_000_000, func() { f.Custodians[seed%4].Kill() })
 		done, lost := int64(0), map[string]int{}
-		f.judge.onTold = func(x *send, o blotter.Outcome) {
-			if o != blotter.Done && x.why != "duplicate" {
+		f.judge.onTold = func(x *send, o attempt.Outcome) {
+			if o != attempt.Done && x.why != "duplicate" {
 				lost[x.why]++
 			}
 		}
--- a/sim/world.go
+++ b/sim/world.go
@@ -10,7 +10,7 @@
 	"hash/fnv"
 	"math/rand"
 
-	"violetthread/depository"
+	"violetthread/wal"
 )
 
 type event struct {
@@ -303,8 +303,8 @@
 
 var errDisk = errors.New("simulated disk problem")
 
-// Open implements depository.FS.
-func (d *Disk) Open(name string, size int64) (depository.File, error) {
+// Open implements wal.FS.
+func (d *Disk) Open(name string, size int64) (wal.File, error) {
 	f := d.files[name]
 	if f == nil {
 		f = &diskFile{d: d, durable: make([]byte, size), cache: make([]byte, size)}
--- a/tape/reel/desk.go
+++ b/tape/reel/desk.go
@@ -4,22 +4,22 @@
 import (
 	"encoding/json"
 
-	"violetthread/blotter"
-	"violetthread/cue"
-	"violetthread/desk"
+	"violetthread/attempt"
+	"violetthread/dispatch"
+	"violetthread/hint"
 	"violetthread/plan"
 	"violetthread/tape"
 )
 
 // Desk is a proxy's desk that records what goes in and what comes out.
 type Desk struct {
-	*desk.Desk
+	*dispatch.Desk
 	W *tape.Writer
 }
 
 // act is a decision as a tape shows it: no prompt, and keys as a count.
 type act struct {
-	Do      desk.Do         `json:"do"`
+	Do      dispatch.Do     `json:"do"`
 	Ref     uint64          `json:"ref,omitempty"`
 	ID      string          `json:"id,omitempty"`
 	Attempt string          `json:"attempt,omitempty"`
@@ -29,23 +29,23 @@
 	Parts   int             `json:"parts,omitempty"`
 	Take    int             `json:"take,omitempty"` // part and 1; 0 for none
 	Peer    uint64          `json:"peer,omitempty"`
-	Outcome blotter.Outcome `json:"outcome,omitempty"`
+	Outcome attempt.Outcome `json:"outcome,omitempty"`
 	Reason  string          `json:"reason,omitempty"`
 	Back    int64           `json:"back,omitempty"`
 	Until   int64           `json:"until,omitempty"`
 }
 
 type decided struct {
-	Acts    []act         `json:"acts,omitempty"`
-	Refused *desk.Refusal `json:"refused,omitempty"`
-	Allowed bool          `json:"allowed,omitempty"`
+	Acts    []act             `json:"acts,omitempty"`
+	Refused *dispatch.Refusal `json:"refused,omitempty"`
+	Allowed bool              `json:"allowed,omitempty"`
 }
 
-func show(as []desk.Act) decided {
+func show(as []dispatch.Act) decided {
 	var d decided
 	for _, a := range as {
 		x := act{Do: a.Do, Ref: a.Ref, ID: a.ID, Attempt: a.Attempt, Outcome: a.Outcome, Reason: a.Reason, Back: a.Back, Until: a.Until}
-		if a.Do == desk.DoStart {
+		if a.Do == dispatch.DoStart {
 			x.Engine, x.Epoch, x.Weights, x.Parts, x.Take, x.Peer = a.Order.Engine, a.Order.Epoch, a.Weights, len(a.Chain), a.Take+1, a.Peer
 		}
 		d.Acts = append(d.Acts, x)
@@ -62,19 +62,19 @@
 type noteIn struct {
 	Ref     uint64        `json:"ref"`
 	Attempt string        `json:"attempt,omitempty"`
-	State   blotter.State `json:"state,omitempty"`
-	Claim   blotter.Claim `json:"claim,omitempty"`
+	State   attempt.State `json:"state,omitempty"`
+	Claim   attempt.Claim `json:"claim,omitempty"`
 	Why     string        `json:"why,omitempty"`
 }
 
 type ticketIn struct {
-	desk.Ticket
+	dispatch.Ticket
 	Prompt *string `json:",omitempty"` // hides the caller's words
 	Rows   int     // length of the chain; its keys are not needed to decide
 }
 
 // Plan records and passes on.
-func (r *Desk) Plan(now int64, h *plan.Held) []desk.Act {
+func (r *Desk) Plan(now int64, h *plan.Held) []dispatch.Act {
 	in := planIn{Rev: h.Rev, At: h.At}
 	if r.W != nil && r.planRev() != h.Rev {
 		in.Raw = string(h.Raw)
@@ -87,14 +87,14 @@
 func (r *Desk) planRev() uint64 { return r.Desk.PlanRev() }
 
 // Orders records and passes on.
-func (r *Desk) Orders(now int64, os []desk.Order) []desk.Act {
+func (r *Desk) Orders(now int64, os []dispatch.Order) []dispatch.Act {
 	as := r.Desk.Orders(now, os)
 	r.W.Put(now, "orders", os, show(as))
 	return as
 }
 
 // Arrive records and passes on.
-func (r *Desk) Arrive(now int64, t desk.Ticket) ([]desk.Act, *desk.Refusal) {
+func (r *Desk) Arrive(now int64, t dispatch.Ticket) ([]dispatch.Act, *dispatch.Refusal) {
 	as, no := r.Desk.Arrive(now, t)
 	if r.W != nil {
 		d := show(as)
@@ -107,14 +107,14 @@
 }
 
 // Claimed records and passes on.
-func (r *Desk) Claimed(now int64, ref uint64, c blotter.Claim) []desk.Act {
+func (r *Desk) Claimed(now int64, ref uint64, c attempt.Claim) []dispatch.Act {
 	as := r.Desk.Claimed(now, ref, c)
 	r.W.Put(now, "claimed", noteIn{Ref: ref, Claim: c}, show(as))
 	return as
 }
 
 // Note records and passes on.
-func (r *Desk) Note(now int64, ref uint64, attempt string, s blotter.State, cause string) []desk.Act {
+func (r *Desk) Note(now int64, ref uint64, attempt string, s attempt.State, cause string) []dispatch.Act {
 	as := r.Desk.Note(now, ref, attempt, s, cause)
 	r.W.Put(now, "note", noteIn{ref, attempt, s, 0, cause}, show(as))
 	return as
@@ -128,14 +128,14 @@
 }
 
 // Stop records and passes on.
-func (r *Desk) Stop(now int64, ref uint64, why string) []desk.Act {
+func (r *Desk) Stop(now int64, ref uint64, why string) []dispatch.Act {
 	as := r.Desk.Stop(now, ref, why)
 	r.W.Put(now, "stop", noteIn{Ref: ref, Why: why}, show(as))
 	return as
 }
 
 // Tick records and passes on.
-func (r *Desk) Tick(now int64) []desk.Act {
+func (r *Desk) Tick(now int64) []dispatch.Act {
 	as := r.Desk.Tick(now)
 	r.W.Put(now, "tick", nil, show(as))
 	return as
@@ -160,7 +160,7 @@
 		}
 		return show(r.Plan(l.At, h)), nil
 	case "orders":
-		var os []desk.Order
+		var os []dispatch.Order
 		if err := json.Unmarshal(l.In, &os); err != nil {
 			return decided{}, err
 		}
@@ -170,7 +170,7 @@
 		if err := json.Unmarshal(l.In, &in); err != nil {
 			return decided{}, err
 		}
-		in.Ticket.Chain = make([]cue.Key, in.Rows)
+		in.Ticket.Chain = make([]hint.Key, in.Rows)
 		as, no := r.Arrive(l.At, in.Ticket)
 		d := show(as)
 		d.Refused = no
--- a/tape/reel/keeper.go
+++ b/tape/reel/keeper.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 
-	"violetthread/cue"
-	"violetthread/custody"
+	"violetthread/hint"
+	"violetthread/index"
 	"violetthread/plan"
 	"violetthread/tape"
 )
@@ -13,12 +13,12 @@
 // plans, members, listings, leases, reports and demands in; lease operations,
 // turns to other weights and standing orders out.
 type Keeper struct {
-	*custody.Keeper
+	*index.Keeper
 	W *tape.Writer
 }
 
 type heldIn struct {
-	Ask   custody.DutyAsk
+	Ask   index.DutyAsk
 	Asked int64
 	OK    bool
 	Epoch uint64
@@ -27,18 +27,18 @@
 type reportIn struct {
 	Asked  int64
 	Engine string
-	Report custody.Report
+	Report index.Report
 }
 
 type wholeIn struct {
 	Engine   string
 	Inc, Seq uint64
-	Parts    []cue.Key
+	Parts    []hint.Key
 }
 
 type listIn struct {
 	At     int64
-	List   []custody.Listed
+	List   []index.Listed
 	Stands bool `json:",omitempty"`
 }
 
@@ -53,13 +53,13 @@
 }
 
 // Peers records and passes on.
-func (r *Keeper) Peers(now int64, cs []custody.Custodian) {
+func (r *Keeper) Peers(now int64, cs []index.Custodian) {
 	r.Keeper.Peers(cs)
 	r.W.Put(now, "peers", cs, r.Keeper.Placement())
 }
 
 // Listing records and passes on.
-func (r *Keeper) Listing(now, at int64, ls []custody.Listed) {
+func (r *Keeper) Listing(now, at int64, ls []index.Listed) {
 	r.Keeper.Listing(at, ls)
 	r.W.Put(now, "listing", listIn{At: at, List: ls}, nil)
 }
@@ -71,46 +71,46 @@
 }
 
 // Want records and passes on.
-func (r *Keeper) Want(now int64) []custody.DutyAsk {
+func (r *Keeper) Want(now int64) []index.DutyAsk {
 	as := r.Keeper.Want(now)
 	r.W.Put(now, "want", nil, as)
 	return as
 }
 
 // Held records and passes on.
-func (r *Keeper) Held(now int64, a custody.DutyAsk, asked int64, ok bool, epoch uint64) {
+func (r *Keeper) Held(now int64, a index.DutyAsk, asked int64, ok bool, epoch uint64) {
 	r.Keeper.Held(now, a, asked, ok, epoch)
 	r.W.Put(now, "held", heldIn{a, asked, ok, epoch}, nil)
 }
 
 // Polls records and passes on: asking an engine first makes it known.
-func (r *Keeper) Polls(now int64) []custody.Poll {
+func (r *Keeper) Polls(now int64) []index.Poll {
 	ps := r.Keeper.Polls(now)
 	r.W.Put(now, "polls", nil, ps)
 	return ps
 }
 
 // Turns records and passes on.
-func (r *Keeper) Turns(now int64) []custody.Turn {
+func (r *Keeper) Turns(now int64) []index.Turn {
 	ts := r.Keeper.Turns(now)
 	r.W.Put(now, "turns", nil, ts)
 	return ts
 }
 
 // Whole records and passes on.
-func (r *Keeper) Whole(now int64, name string, inc, seq uint64, parts []cue.Key) {
+func (r *Keeper) Whole(now int64, name string, inc, seq uint64, parts []hint.Key) {
 	r.Keeper.Whole(now, name, inc, seq, parts)
 	r.W.Put(now, "whole", wholeIn{name, inc, seq, parts}, nil)
 }
 
 // Reported records and passes on.
-func (r *Keeper) Reported(now, asked int64, name string, x custody.Report) {
+func (r *Keeper) Reported(now, asked int64, name string, x index.Report) {
 	r.Keeper.Reported(now, asked, name, x)
 	r.W.Put(now, "reported", reportIn{asked, name, x}, nil)
 }
 
 // Orders records and passes on.
-func (r *Keeper) Orders(now int64, a custody.Ask) []custody.Order {
+func (r *Keeper) Orders(now int64, a index.Ask) []index.Order {
 	os := r.Keeper.Orders(now, a)
 	r.W.Put(now, "orders", a, os)
 	return os
@@ -135,7 +135,7 @@
 		}
 		r.Plan(l.At, h)
 	case "peers":
-		var cs []custody.Custodian
+		var cs []index.Custodian
 		if err := get(&cs); err != nil {
 			return nil, err
 		}
@@ -176,7 +176,7 @@
 		}
 		r.Reported(l.At, in.Asked, in.Engine, in.Report)
 	case "orders":
-		var in custody.Ask
+		var in index.Ask
 		if err := get(&in); err != nil {
 			return nil, err
 		}
--- a/depository/example_test.go
+++ b/wal/example_test.go
@@ -1,19 +1,19 @@
-package depository_test
+package wal_test
 
 import (
 	"fmt"
 	"os"
 
-	"violetthread/depository"
-	"violetthread/depository/osdisk"
+	"violetthread/wal"
+	"violetthread/wal/osdisk"
 )
 
 // Records last once Sync has returned; a checkpoint stands for all before it.
 func Example() {
 	dir, _ := os.MkdirTemp("", "ring")
 	defer os.RemoveAll(dir)
-	p := depository.Plan{Files: 4, Size: 64 << 10}
-	r, _, err := depository.Open(osdisk.Folder{Dir: dir}, p)
+	p := wal.Plan{Files: 4, Size: 64 << 10}
+	r, _, err := wal.Open(osdisk.Folder{Dir: dir}, p)
 	if err != nil {
 		fmt.Println(err)
 		return
@@ -24,7 +24,7 @@
 	_ = r.Append([]byte("b=1"))
 	_ = r.Sync()
 	_ = r.Close()
-	_, recs, _ := depository.Open(osdisk.Folder{Dir: dir}, p)
+	_, recs, _ := wal.Open(osdisk.Folder{Dir: dir}, p)
 	for _, x := range recs {
 		fmt.Println(string(x))
 	}
--- a/depository/osdisk/fs.go
+++ b/wal/osdisk/fs.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
 
-	"violetthread/depository"
+	"violetthread/wal"
 )
 
 // Folder keeps ring files under Dir.
@@ -18,7 +18,7 @@
 // Open makes, fills and syncs a missing file, and its folder's entry with it. The
 // folder is synced for a file that is there already as well: who made it may have
 // been cut off before it got that far.
-func (f Folder) Open(name string, size int64) (depository.File, error) {
+func (f Folder) Open(name string, size int64) (wal.File, error) {
 	if err := makeDir(f.Dir); err != nil {
 		return nil, err
 	}
--- a/depository/ring.go
+++ b/wal/wal.go
@@ -1,10 +1,10 @@
-// Package depository keeps records in a ring of preallocated files.
+// Package wal keeps records in a ring of preallocated files.
 //
 // Records are appended and synced in order. A checkpoint restates everything
 // that still matters, after which the files before it are used again. What a
 // sync has not covered may be lost; anything else that can't be read back makes
 // the ring refuse to open (design §5).
-package depository
+package wal
 
 import (
 	"encoding/binary"
@@ -57,8 +57,8 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// Ring is not safe for concurrent use.
-type Ring struct {
+// Log is not safe for concurrent use.
+type Log struct {
 	p     Plan
 	files []File
 	gen   uint64 // generation being written; file gen%Files
@@ -71,16 +71,16 @@
 	dead  error
 }
 
-func (r *Ring) file(g uint64) File { return r.files[g%uint64(r.p.Files)] }
+func (r *Log) file(g uint64) File { return r.files[g%uint64(r.p.Files)] }
 
-func (r *Ring) pos(g uint64, off int64) uint64 { return g*uint64(r.p.Size) + uint64(off) }
+func (r *Log) pos(g uint64, off int64) uint64 { return g*uint64(r.p.Size) + uint64(off) }
 
 // Open reads the ring and returns the records from the newest whole checkpoint on.
-func Open(fs FS, p Plan) (*Ring, [][]byte, error) {
+func Open(fs FS, p Plan) (*Log, [][]byte, error) {
 	if p.Files < 3 || p.Size < 4096 {
 		return nil, nil, trace.BadParameter("a ring needs at least 3 files of 4096 bytes; raise ring_files or ring_bytes")
 	}
-	r := &Ring{p: p, dirty: map[int]bool{}}
+	r := &Log{p: p, dirty: map[int]bool{}}
 	for i := 0; i < p.Files; i++ {
 		f, err := fs.Open(fmt.Sprintf("ring-%03d", i), p.Size)
 		if err != nil {
@@ -109,7 +109,7 @@
 	beyond  uint64
 }
 
-func (r *Ring) scan(buf []byte, gen uint64) volume {
+func (r *Log) scan(buf []byte, gen uint64) volume {
 	v := volume{bad: headLen, prevEnd: int64(binary.LittleEndian.Uint64(buf[16:]))}
 	for {
 		s, ok := r.readAt(buf, gen, v.bad)
@@ -129,7 +129,7 @@
 
 func span(n int) int64 { return (int64(recLen+n) + 7) &^ 7 }
 
-func (r *Ring) readAt(buf []byte, gen uint64, off int64) (s scanned, ok bool) {
+func (r *Log) readAt(buf []byte, gen uint64, off int64) (s scanned, ok bool) {
 	if off+recLen > int64(len(buf)) {
 		return s, false
 	}
@@ -145,7 +145,7 @@
 	return scanned{h[16], gen, off, binary.LittleEndian.Uint64(h[8:]), d}, true
 }
 
-func (r *Ring) sum(gen uint64, off int64, h, d []byte) uint32 {
+func (r *Log) sum(gen uint64, off int64, h, d []byte) uint32 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:], gen)
 	binary.LittleEndian.PutUint64(b[8:], uint64(off))
@@ -164,7 +164,7 @@
 	return b
 }
 
-func (r *Ring) recover() ([][]byte, error) {
+func (r *Log) recover() ([][]byte, error) {
 	vs := map[uint64]volume{}
 	var lo, hi uint64
 	for i, f := range r.files {
@@ -238,11 +238,11 @@
 	return -1, -1
 }
 
-func (r *Ring) corrupt(g uint64, off int64) error {
+func (r *Log) corrupt(g uint64, off int64) error {
 	return trace.Wrap(ErrCorrupt, "file %d offset %d holds synced data that fails its checksum; move data_dir aside and rejoin as an empty node", g%uint64(r.p.Files), off)
 }
 
-func (r *Ring) wipe() error {
+func (r *Log) wipe() error {
 	z := make([]byte, r.p.Size-r.off)
 	return r.fail(func() error {
 		if _, err := r.file(r.gen).WriteAt(z, r.off); err != nil {
@@ -253,7 +253,7 @@
 }
 
 // start makes generation g the one being written.
-func (r *Ring) start(g uint64, prevEnd int64) error {
+func (r *Log) start(g uint64, prevEnd int64) error {
 	r.gen, r.off = g, headLen
 	if r.keep == 0 {
 		r.keep = g
@@ -268,7 +268,7 @@
 	})
 }
 
-func (r *Ring) fail(f func() error) error {
+func (r *Log) fail(f func() error) error {
 	if r.dead != nil {
 		return r.dead
 	}
@@ -282,14 +282,14 @@
 // Append writes a record; it lasts once Sync has returned.
 //
 // Two fifths of the ring stay free until the next checkpoint begins.
-func (r *Ring) Append(d []byte) error {
+func (r *Log) Append(d []byte) error {
 	if r.under {
 		return r.put(kData, d, 0)
 	}
 	return r.put(kData, d, max(1, r.p.Files*2/5))
 }
 
-func (r *Ring) put(k byte, d []byte, spare int) error {
+func (r *Log) put(k byte, d []byte, spare int) error {
 	if r.dead != nil {
 		return r.dead
 	}
@@ -325,7 +325,7 @@
 }
 
 // Sync makes everything appended last. Once it has failed, so does every later call.
-func (r *Ring) Sync() error {
+func (r *Log) Sync() error {
 	return r.fail(func() error {
 		for i := range r.dirty {
 			if err := r.files[i].Sync(); err != nil {
@@ -339,7 +339,7 @@
 }
 
 // Used tells which part of the ring is taken, in thousandths.
-func (r *Ring) Used() int {
+func (r *Log) Used() int {
 	u := (r.gen-r.keep)*uint64(r.p.Size) + uint64(r.off)
 	return int(u * 1000 / (uint64(r.p.Files) * uint64(r.p.Size)))
 }
@@ -347,7 +347,7 @@
 // Begin begins a checkpoint: the records that Part then adds restate everything
 // before it. Other records may be appended and synced meanwhile; one checkpoint
 // at a time.
-func (r *Ring) Begin() error {
+func (r *Log) Begin() error {
 	if err := r.put(kBegin, nil, 0); err != nil {
 		return err
 	}
@@ -356,7 +356,7 @@
 }
 
 // Part adds records to the checkpoint.
-func (r *Ring) Part(recs [][]byte) error {
+func (r *Log) Part(recs [][]byte) error {
 	for _, d := range recs {
 		if err := r.put(kCkpt, d, 0); err != nil {
 			return err
@@ -366,7 +366,7 @@
 }
 
 // End ends the checkpoint, syncs, and frees the files that came before it.
-func (r *Ring) End() error {
+func (r *Log) End() error {
 	if err := r.put(kEnd, nil, 0); err != nil {
 		return err
 	}
@@ -378,7 +378,7 @@
 }
 
 // Checkpoint writes a whole checkpoint in one go.
-func (r *Ring) Checkpoint(recs [][]byte) error {
+func (r *Log) Checkpoint(recs [][]byte) error {
 	if err := r.Begin(); err != nil {
 		return err
 	}
@@ -389,7 +389,7 @@
 }
 
 // Close closes the files.
-func (r *Ring) Close() error {
+func (r *Log) Close() error {
 	var err error
 	for _, f := range r.files {
 		err = errors.Join(err, f.Close())
--- a/depository/ring_test.go
+++ b/wal/wal_test.go
@@ -1,4 +1,4 @@
-package depository_test
+package wal_test
 
 import (
 	"errors"
@@ -6,14 +6,14 @@
 	"math/rand"
 	"testing"
 
-	"violetthread/depository"
-	"violetthread/depository/osdisk"
 	"violetthread/sim"
+	"violetthread/wal"
+	"violetthread/wal/osdisk"
 )
 
-func open(t *testing.T, fs depository.FS, p depository.Plan) (*depository.Ring, []string) {
+func open(t *testing.T, fs wal.FS, p wal.Plan) (*wal.Log, []string) {
 	t.Helper()
-	r, raw, err := depository.Open(fs, p)
+	r, raw, err := wal.Open(fs, p)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -24,7 +24,7 @@
 	return r, out
 }
 
-var plan = depository.Plan{Files: 5, Size: 4096}
+var plan = wal.Plan{Files: 5, Size: 4096}
 
 // TestPowerLoss: whatever was synced is read back in order, however the power
 // goes, over many turns of the ring.
@@ -121,9 +121,9 @@
 		_, _ = f.ReadAt(b, at)
 		b[0] ^= 1 << rng.Intn(8)
 		_, _ = f.WriteAt(b, at)
-		_, raw, err := depository.Open(d, plan)
+		_, raw, err := wal.Open(d, plan)
 		switch {
-		case errors.Is(err, depository.ErrCorrupt):
+		case errors.Is(err, wal.ErrCorrupt):
 			found++
 		case err != nil:
 			t.Fatal(err)
@@ -154,7 +154,7 @@
 	for ; err == nil; n++ {
 		err = r.Append(make([]byte, 500))
 	}
-	if !errors.Is(err, depository.ErrFull) || n < 15 {
+	if !errors.Is(err, wal.ErrFull) || n < 15 {
 		t.Fatalf("after %d: %v", n, err)
 	}
 	if err := r.Checkpoint([][]byte{[]byte("all")}); err != nil {
@@ -177,14 +177,14 @@
 	r, _ := open(t, d, plan)
 	_ = r.Append([]byte("a"))
 	d.Fail = true
-	if err := r.Sync(); !errors.Is(err, depository.ErrDead) {
+	if err := r.Sync(); !errors.Is(err, wal.ErrDead) {
 		t.Fatalf("failed sync: %v", err)
 	}
 	d.Fail = false
-	if err := r.Append([]byte("b")); !errors.Is(err, depository.ErrDead) {
+	if err := r.Append([]byte("b")); !errors.Is(err, wal.ErrDead) {
 		t.Fatalf("append after a failed sync: %v", err)
 	}
-	if err := r.Sync(); !errors.Is(err, depository.ErrDead) {
+	if err := r.Sync(); !errors.Is(err, wal.ErrDead) {
 		t.Fatalf("sync after a failed sync: %v", err)
 	}
 }
@@ -214,7 +214,7 @@
 // FuzzOpen: whatever a disk holds, opening it ends in records or an error.
 func FuzzOpen(f *testing.F) {
 	d := sim.NewDisk(sim.NewWorld(1))
-	r, _, _ := depository.Open(d, plan)
+	r, _, _ := wal.Open(d, plan)
 	_ = r.Append([]byte("seed"))
 	_ = r.Sync()
 	file, _ := d.Open("ring-001", plan.Size)
@@ -227,8 +227,8 @@
 			g, _ := d.Open(fmt.Sprintf("ring-%03d", i), plan.Size)
 			_, _ = g.WriteAt(b[:min(len(b), int(plan.Size))], 0)
 		}
-		if r, _, err := depository.Open(d, plan); err == nil {
-			if err := r.Append([]byte("x")); err != nil && !errors.Is(err, depository.ErrFull) {
+		if r, _, err := wal.Open(d, plan); err == nil {
+			if err := r.Append([]byte("x")); err != nil && !errors.Is(err, wal.ErrFull) {
 				t.Fatal(err)
 			}
 		}
