Callers' connections rest by the idle limit in force, not the first one seen

Cause: http.Server's IdleTimeout was fixed from the first configuration a proxy saw.

Ruled out: changing the server's field while it serves (a data race), a timer for each connection (a goroutine or timer each). The accepted connection itself knows when it rests, and goes on resting while the limit in force allows it, looked at once a second at the most.

Tests: proxy TestIdleLimitInForce, TestIdleLimitOnlyAtRest; platform unchanged and green.

--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -153,17 +153,14 @@
 	if err != nil {
 		return trace.ConnectionProblem(err, "can't listen on %s; give it a free IP:port of this machine", c.s.Listen)
 	}
-	s := &http.Server{Handler: http.HandlerFunc(c.serve), ReadHeaderTimeout: clock.Micros(l.HeaderUS), IdleTimeout: clock.Micros(l.IdleUS),
-		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), ConnContext: withRaw}
+	s := &http.Server{Handler: http.HandlerFunc(c.serve), ReadHeaderTimeout: clock.Micros(l.HeaderUS), IdleTimeout: idleUnbounded,
+		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), ConnContext: withRaw, ConnState: noteState}
 	if l.HeaderUS <= 0 {
 		s.ReadHeaderTimeout = 5 * time.Second
 	}
-	if l.IdleUS <= 0 {
-		s.IdleTimeout = 60 * time.Second
-	}
 	c.srv.Store(s)
 	c.d.Group.Go("callers", func(context.Context) {
-		if err := s.Serve(rawListener{ln}); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(rawListener{Listener: ln, idleLimit: c.idleLimit}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			c.d.Log.Info("callers_problem", "cause", err.Error())
 			c.d.Stop()
 		}
@@ -176,6 +173,17 @@
 	return nil
 }
 
+// idleDefault is how long a connection may rest where the configuration says nothing.
+const idleDefault = 60 * time.Second
+
+// idleLimit is how long a caller's connection may rest under the configuration in force.
+func (c *carrier) idleLimit() time.Duration {
+	if t := c.view.Load().table; t != nil && t.Limits.IdleUS > 0 {
+		return clock.Micros(t.Limits.IdleUS)
+	}
+	return idleDefault
+}
+
 // awayUS is how long new connections may still come after this proxy said that it is
 // not ready any more: the platform asks once a second and believes the second no.
 const awayUS = 2_700_000
--- a/internal/app/proxy/raw.go
+++ b/internal/app/proxy/raw.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
+	"net/http"
+	"os"
 	"sync"
+	"time"
 )
 
 // The library reads leniently where one request might be taken for two: it drops a
@@ -17,20 +21,92 @@
 	mu   sync.Mutex
 	head []byte
 	done bool // the blank line was seen
+	// While the connection rests between two requests, idleSince tells since when, and
+	// idleLimit for how long it may: the limit in force then, not that of its start.
+	idleSince time.Time
+	idleLimit func() time.Duration
 }
 
 const headMost = 1 << 20
 
 type rawKey struct{}
 
-type rawListener struct{ net.Listener }
+// rawListener accepts callers' connections. idleLimit is how long one may rest.
+type rawListener struct {
+	net.Listener
+	idleLimit func() time.Duration
+}
 
 func (l rawListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &raw{Conn: c}, nil
+	return &raw{Conn: c, idleLimit: l.idleLimit}, nil
+}
+
+// idleUnbounded is the server's own idle time-out. It is never reached: rawListener's
+// connections end their rest by the limit in force (raw.Read).
+const idleUnbounded = 24 * time.Hour
+
+// idleCheck is the longest time between two looks at the idle limit.
+const idleCheck = time.Second
+
+// noteState follows the server's word on a connection: http.Server sets the deadline of
+// an idle connection right after it.
+func noteState(c net.Conn, state http.ConnState) {
+	r, ok := c.(*raw)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.idleSince = time.Time{}
+	if state == http.StateIdle {
+		r.idleSince = time.Now()
+	}
+}
+
+// idleDeadline is when a resting connection is looked at next, and whether it has
+// rested for long enough. The caller holds the lock.
+func (r *raw) idleDeadline(now time.Time) (next time.Time, over bool) {
+	end := r.idleSince.Add(r.idleLimit())
+	if !now.Before(end) {
+		return now, true
+	}
+	next = now.Add(idleCheck)
+	if end.Before(next) {
+		next = end
+	}
+	return next, false
+}
+
+// SetReadDeadline sets the time after which reads fail. While the connection rests, the
+// idle limit in force goes before the server's.
+func (r *raw) SetReadDeadline(t time.Time) error {
+	r.mu.Lock()
+	resting := !r.idleSince.IsZero()
+	if resting {
+		t, _ = r.idleDeadline(time.Now())
+	}
+	r.mu.Unlock()
+	return r.Conn.SetReadDeadline(t)
+}
+
+// keepResting reports whether a read that ran into its deadline goes on, because the
+// connection rests and may do so for longer.
+func (r *raw) keepResting(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	r.mu.Lock()
+	resting := !r.idleSince.IsZero()
+	next, over := time.Time{}, true
+	if resting {
+		next, over = r.idleDeadline(time.Now())
+	}
+	r.mu.Unlock()
+	return resting && !over && r.Conn.SetReadDeadline(next) == nil
 }
 
 func withRaw(ctx context.Context, c net.Conn) context.Context {
@@ -45,8 +121,12 @@
 // Read passes bytes on and keeps those of the head.
 func (r *raw) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
+	for n == 0 && r.keepResting(err) {
+		n, err = r.Conn.Read(b)
+	}
 	if n > 0 {
 		r.mu.Lock()
+		r.idleSince = time.Time{} // the next request has begun
 		if !r.done && len(r.head) < headMost {
 			from := max(0, len(r.head)-3)
 			r.head = append(r.head, b[:n]...)
--- /dev/null
+++ b/internal/app/proxy/raw_test.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+// deadlineConn is a connection whose far end says nothing: each read ends at its deadline
+// at once. beforeRead is called before each read.
+type deadlineConn struct {
+	net.Conn
+	deadlines  []time.Time
+	reads      int
+	beforeRead func(reads int)
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadlines = append(c.deadlines, t)
+	return nil
+}
+
+func (c *deadlineConn) Read([]byte) (int, error) {
+	c.reads++
+	if c.beforeRead != nil {
+		c.beforeRead(c.reads)
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+// TestIdleLimitInForce: a resting connection goes by the limit that is in force when its
+// time is up, not by the one of its start, nor by that of the proxy's first configuration.
+func TestIdleLimitInForce(t *testing.T) {
+	limit := time.Hour
+	far := &deadlineConn{}
+	c := &raw{Conn: far, idleLimit: func() time.Duration { return limit }}
+	far.beforeRead = func(reads int) {
+		if reads == 3 { // an operator lowers the limit below what was rested already
+			limit = 0
+		}
+	}
+	noteState(c, http.StateIdle)
+	_ = c.SetReadDeadline(time.Now().Add(idleUnbounded))
+	if d := time.Until(far.deadlines[0]); d > idleCheck {
+		t.Errorf("the limit is looked at again only after %v, want %v at most", d, idleCheck)
+	}
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the read of a connection that rested for too long did not end")
+	}
+	if far.reads != 3 {
+		t.Errorf("ended after %d reads, want 3: it rests on while the limit allows it", far.reads)
+	}
+}
+
+// TestIdleLimitOnlyAtRest: a read within a request ends at its deadline.
+func TestIdleLimitOnlyAtRest(t *testing.T) {
+	far := &deadlineConn{}
+	c := &raw{Conn: far, idleLimit: func() time.Duration { return time.Hour }}
+	noteState(c, http.StateIdle)
+	noteState(c, http.StateActive)
+	want := time.Now().Add(time.Minute)
+	_ = c.SetReadDeadline(want)
+	if !far.deadlines[0].Equal(want) {
+		t.Errorf("the deadline within a request became %v", time.Until(far.deadlines[0]))
+	}
+	if _, err := c.Read(make([]byte, 1)); err == nil || far.reads != 1 {
+		t.Errorf("%d reads, error %v; want one that ends at its deadline", far.reads, err)
+	}
+}
