--- a/quorum/op.go
+++ b/quorum/op.go
@@ -3,8 +3,14 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"strings"
 )
 
+// dutyPrefix marks keys that are leases.
+const dutyPrefix = "duty/"
+
+func isDuty(k string) bool { return strings.HasPrefix(k, dutyPrefix) }
+
 type dutyVal struct {
 	Holder string
 	Term   int64
