--- /dev/null
+++ b/docs/symbols_test.go
@@ -0,0 +1,172 @@
+// Package docs holds the project's pages. Its test keeps what they say of the code true.
+package docs
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// checkedPages name code by symbol; each symbol must be there.
+var checkedPages = []string{"control-safety.md"}
+
+var (
+	inCode     = regexp.MustCompile("`([^`\n]+)`")
+	testName   = regexp.MustCompile(`^(Test|Fuzz|Example|Benchmark)[A-Z0-9]\w*`)
+	symbolName = regexp.MustCompile(`^([a-z][\w/]*)\.([A-Za-z]\w*)(?:\.([A-Za-z]\w*))?$`)
+	fileName   = regexp.MustCompile(`^[\w.-]+(/[\w.-]+)+$`)
+)
+
+// declared lists what the project's source declares: tests by name, and symbols as
+// package.Name and package.Type.Member, the package being the last part of its path.
+func declared(t *testing.T) map[string]bool {
+	t.Helper()
+	names := map[string]bool{}
+	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && strings.HasPrefix(entry.Name(), ".") && entry.Name() != ".." {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") {
+			return nil
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		declareFile(names, strings.TrimSuffix(file.Name.Name, "_test"), file)
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return names
+}
+
+func declareFile(names map[string]bool, pkg string, file *ast.File) {
+	for _, declaration := range file.Decls {
+		switch d := declaration.(type) {
+		case *ast.FuncDecl:
+			declareFunc(names, pkg, d)
+		case *ast.GenDecl:
+			for _, spec := range d.Specs {
+				declareSpec(names, pkg, spec)
+			}
+		}
+	}
+}
+
+func declareFunc(names map[string]bool, pkg string, d *ast.FuncDecl) {
+	if d.Recv == nil {
+		names[d.Name.Name] = testName.MatchString(d.Name.Name)
+		names[pkg+"."+d.Name.Name] = true
+		return
+	}
+	receiver := d.Recv.List[0].Type
+	if star, ok := receiver.(*ast.StarExpr); ok {
+		receiver = star.X
+	}
+	if generic, ok := receiver.(*ast.IndexExpr); ok {
+		receiver = generic.X
+	}
+	if name, ok := receiver.(*ast.Ident); ok {
+		names[pkg+"."+name.Name+"."+d.Name.Name] = true
+	}
+}
+
+func declareSpec(names map[string]bool, pkg string, spec ast.Spec) {
+	switch s := spec.(type) {
+	case *ast.ValueSpec:
+		for _, name := range s.Names {
+			names[pkg+"."+name.Name] = true
+		}
+	case *ast.TypeSpec:
+		names[pkg+"."+s.Name.Name] = true
+		var members *ast.FieldList
+		switch x := s.Type.(type) {
+		case *ast.StructType:
+			members = x.Fields
+		case *ast.InterfaceType:
+			members = x.Methods
+		default:
+			return
+		}
+		for _, member := range members.List {
+			for _, name := range member.Names {
+				names[pkg+"."+s.Name.Name+"."+name.Name] = true
+			}
+		}
+	}
+}
+
+// missing tells what is wrong with one piece of code that a page names, "" if nothing is.
+func missing(names map[string]bool, code string) string {
+	if test := testName.FindString(code); test != "" {
+		if !names[test] {
+			return "no such test"
+		}
+		return ""
+	}
+	if parts := symbolName.FindStringSubmatch(code); parts != nil {
+		symbol := filepath.Base(parts[1]) + "." + parts[2]
+		if parts[3] != "" {
+			symbol += "." + parts[3]
+		}
+		if _, err := os.Stat(filepath.Join("..", code)); err == nil {
+			return ""
+		}
+		if !names[symbol] {
+			return "no such symbol"
+		}
+		return ""
+	}
+	if fileName.MatchString(code) {
+		if _, err := os.Stat(filepath.Join("..", code)); err != nil {
+			return "no such file"
+		}
+	}
+	return ""
+}
+
+// TestPagesNameWhatIsThere: every symbol, test and file that a checked page names exists.
+func TestPagesNameWhatIsThere(t *testing.T) {
+	names := declared(t)
+	for _, page := range checkedPages {
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := 0
+		for _, match := range inCode.FindAllStringSubmatch(string(text), -1) {
+			found++
+			if problem := missing(names, match[1]); problem != "" {
+				t.Errorf("%s names `%s`: %s", page, match[1], problem)
+			}
+		}
+		if found == 0 {
+			t.Errorf("%s names no code at all", page)
+		}
+	}
+}
+
+// TestMissing: what is not there is told apart from what is.
+func TestMissing(t *testing.T) {
+	names := declared(t)
+	for code, want := range map[string]string{
+		"quorum.Node.Vouch": "", "quorum.Node.NoSuchMethod": "no such symbol", "quorum.Entry.Rev": "",
+		"TestMissing": "", "TestNoSuchTest": "no such test", "docs/symbols_test.go": "", "docs/no-such.md": "no such file",
+		"scripts/test": "", "a few words": "",
+	} {
+		if got := missing(names, code); got != want {
+			t.Errorf("%s: %q, want %q", code, got, want)
+		}
+	}
+}
