A change that was taken is never refused, however many came after it

Cause: duplicates were known by the digests of the last 128 accepted changes. A resend of one that was older found its base gone and got 412, though it had been taken.

Change: exactly one change was taken on each base, since each is put on the revision that held its base and versions only rise.

Conclusion: 412 is only said of a change that was certainly not taken.

--- a/route/document.go
+++ b/route/document.go
@@ -20,8 +20,9 @@
 	MaxBody = 8 << 20
 	// MaxText is the largest configuration that changes may add up to.
 	MaxText = 2 * MaxBody
-	// MaxTaken is how many accepted changes are remembered.
-	MaxTaken = 128
+	// MaxTaken is how many accepted changes are remembered: a few hours' at three
+	// thousand a day. What is older is answered Forgotten, never Stale.
+	MaxTaken = 1024
 )
 
 // Document is what a register holds: a whole configuration's text, to the byte,
@@ -32,7 +33,8 @@
 	Taken   []Taken // oldest first, at most MaxTaken
 }
 
-// Taken is a change that was accepted.
+// Taken is a change that was accepted. Each builds on the one before it, so that
+// there is one for each base.
 type Taken struct {
 	Version, Base uint64
 	Sum           [sha256.Size]byte // of the change
@@ -137,16 +139,29 @@
 
 // An Accepted change is in force once the register holds the next Document. A
 // Duplicate was taken before, though others may have followed. A Stale one
-// builds on a version that is not current, and an Invalid one never will do.
+// builds on a version that is not current and was certainly not taken, and an
+// Invalid one never will do. Of a Forgotten one nobody knows whether it was taken.
 const (
 	Accepted Outcome = iota + 1
 	Duplicate
 	Stale
 	Invalid
+	Forgotten
 )
 
 func (o Outcome) String() string {
-	return [...]string{"none", "accepted", "duplicate", "stale", "invalid"}[o]
+	return [...]string{"none", "accepted", "duplicate", "stale", "invalid", "forgotten"}[o]
+}
+
+// oldestBase is the base of the oldest change that is remembered. Each change was put
+// on the revision that held its base, and versions only rise, so one change was taken
+// on each base: whatever builds on this base or a later one was taken if and only if
+// it is remembered.
+func (d *Document) oldestBase() uint64 {
+	if len(d.Taken) == 0 {
+		return d.Version
+	}
+	return d.Taken[0].Base
 }
 
 func (c Change) sum() [sha256.Size]byte {
@@ -161,8 +176,10 @@
 // On decides a change on the current document, nil being none. Only an Accepted
 // one has a next document, to be put on the condition that cur is still current.
 //
-// Whether the base is current comes before whether the change is in order: whoever
-// loses a race with a lower version number should learn that the base has moved.
+// Whether it was taken before comes first: a change that was taken is never refused
+// for what came after it. Whether the base is current comes before whether the change
+// is in order: whoever loses a race with a lower version number should learn that the
+// base has moved.
 func (c Change) On(cur *Document, tr func([]byte) (Config, []Finding), w Words) (next *Document, out Outcome, fs []Finding) {
 	cur = lo.CoalesceOrEmpty(cur, &Document{})
 	if !c.HasBase {
@@ -172,6 +189,9 @@
 	if lo.ContainsBy(cur.Taken, func(t Taken) bool { return t.Base == c.Base && t.Sum == sum }) {
 		return nil, Duplicate, nil
 	}
+	if c.Base < cur.oldestBase() {
+		return nil, Forgotten, nil
+	}
 	if c.Base != cur.Version {
 		return nil, Stale, nil
 	}
