--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -55,12 +55,12 @@
 
 // Directory is one core machine's part.
 type Directory struct {
-	s    Settings
-	log  logr.Logger
+	s     Settings
+	log   logr.Logger
 	group *taskgroup.Group
-	ctl  Control
-	pf   Platform
-	inc  uint64
+	ctl   Control
+	pf    Platform
+	inc   uint64
 
 	mu        sync.Mutex
 	bell      chan struct{} // closed when something urgent changed
