--- a/internal/app/control/embed.go
+++ b/internal/app/control/embed.go
@@ -41,6 +41,38 @@
 	return lo.Map(f.Voters, func(v *fb.VoterT, _ int) string { return v.Addr })
 }
 
+// contactLook is how often contact with a majority is looked at during a call.
+const contactLook = 50_000
+
+// HearsMajority reports whether this node heard a majority of the voters within
+// muteAfter, itself among them. A node that does not vote can't tell, and says yes.
+func (r *Node) HearsMajority() bool {
+	f := r.found.Load()
+	if f == nil || !r.up.Load() {
+		return true
+	}
+	return hearsMajority(f.Voters, r.stats.Load().mute)
+}
+
+// hearsMajority tells whether most of the voters are not mute.
+func hearsMajority(voters []*fb.VoterT, mute map[string]bool) bool {
+	heard := lo.CountBy(voters, func(v *fb.VoterT) bool { return !mute[v.Name] })
+	return heard > len(voters)/2
+}
+
+// WhileHearingMajority is a context that ends with ctx, or once this node hears no
+// majority: nothing can be read or changed from here then, and whoever asks does better
+// elsewhere.
+func (r *Node) WhileHearingMajority(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := context.WithCancel(ctx)
+	r.d.Group.Go("contact", func(context.Context) {
+		for r.HearsMajority() && taskgroup.Pause(ctx, contactLook) {
+		}
+		stop()
+	})
+	return ctx, stop
+}
+
 // Frames adds a handler that is asked before the node's own; nil from it means that
 // the frame is not its own.
 func (r *Node) Frames(h func(ctx context.Context, f *fb.FrameT) *fb.FrameT) {
--- a/internal/app/control/embed_test.go
+++ b/internal/app/control/embed_test.go
@@ -39,3 +39,24 @@
 		}
 	}
 }
+
+// TestHearsMajority: of an even number of voters, half is no majority.
+func TestHearsMajority(t *testing.T) {
+	for _, c := range []struct {
+		voters, mute int
+		want         bool
+	}{
+		{1, 0, true}, {3, 0, true}, {3, 1, true}, {3, 2, false}, {4, 1, true}, {4, 2, false}, {5, 2, true}, {5, 3, false},
+	} {
+		var voters []*fb.VoterT
+		mute := map[string]bool{"gone": true}
+		for i := range c.voters {
+			name := string(rune('a' + i))
+			voters = append(voters, &fb.VoterT{Name: name})
+			mute[name] = i > 0 && i <= c.mute
+		}
+		if got := hearsMajority(voters, mute); got != c.want {
+			t.Errorf("%d voters, %d mute: %v", c.voters, c.mute, got)
+		}
+	}
+}
