--- /dev/null
+++ b/internal/app/directory/answer.go
@@ -0,0 +1,121 @@
+package directory
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sort"
+
+	"violetthread/internal/clock"
+	"violetthread/internal/taskgroup"
+	"violetthread/schema/fb"
+)
+
+// Handle answers proxies. Anything else is not its own.
+func (t *Directory) Handle(ctx context.Context, f *fb.FrameT) *fb.FrameT {
+	now := clock.Now()
+	if f.LoadTell != nil {
+		t.hearLoads(now, f.LoadTell)
+		return nil
+	}
+	if f.MapAsk == nil {
+		return nil
+	}
+	q := f.MapAsk
+	if q.Node != nil {
+		t.ctl.Heard(now, q.Node)
+		t.mu.Lock()
+		x := &proxy{at: now, here: true, loads: q.Loads}
+		if o := t.proxies[q.Node.Name]; o != nil && o.here {
+			x.rest = o.rest
+		}
+		t.proxies[q.Node.Name] = x
+		t.mu.Unlock()
+	}
+	end := now + min(max(q.Hold, 0), holdMost)
+	for {
+		t.mu.Lock()
+		bell := t.bell
+		urgent := t.conf.known && q.Have != t.conf.rev || q.Inc != t.inc || q.NewsInc != t.inc || len(t.restOf(q)) > 0 ||
+			q.Map != t.mapRev && clock.Now()-now >= mapPause
+		if q.Map != t.mapRev {
+			end = min(end, now+mapPause) // changes of the map come in lots
+		}
+		t.mu.Unlock()
+		left := end - clock.Now()
+		if urgent || left <= 0 {
+			break
+		}
+		w, stop := context.WithTimeout(ctx, clock.Micros(left))
+		taskgroup.Wait(w, bell)
+		stop()
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	return &fb.FrameT{MapTell: t.tell(q, now)}
+}
+
+func (t *Directory) tell(q *fb.MapAskT, asked int64) *fb.MapTellT {
+	voters, live := t.ctl.Voters(), t.ctl.Live(clock.Now())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := clock.Now()
+	a := &fb.MapTellT{Inc: t.inc, Site: t.s.Site, Held: now - asked, Known: t.conf.known, Rev: t.conf.rev, Age: now - t.conf.at,
+		Map: t.mapRev, ListAge: now - t.listAt, Voters: voters}
+	if q.Have != t.conf.rev {
+		a.Config = t.conf.val
+	}
+	for _, n := range live {
+		if n.Role == "carrier" {
+			a.Proxies++
+		}
+	}
+	if q.Inc != t.inc || q.Map != t.mapRev {
+		a.Whole = true
+		a.Engines = t.engines()
+		for m, ws := range t.first {
+			for w, at := range ws {
+				a.Named = append(a.Named, &fb.NamedT{Model: m, Version: w, Age: now - max(at, t.dutyAt)})
+			}
+		}
+	}
+	sort.Slice(a.Named, func(i, j int) bool {
+		x, y := a.Named[i], a.Named[j]
+		return x.Model < y.Model || x.Model == y.Model && x.Version < y.Version
+	})
+	if q.Node == nil {
+		return a // another steward, who follows the engines itself
+	}
+	a.Loads = t.others(now, q.Node.Name)
+	b := t.news(q)
+	a.Complete = len(t.readers) > 0 && len(t.restOf(q)) == 0
+	for _, r := range t.readers {
+		a.Complete = a.Complete && r.asked
+	}
+	a.NewsInc, a.NewsNext, a.NewsReset = b.Inc, b.Next, b.Reset
+	for _, n := range b.News {
+		a.News = append(a.News, &fb.NewsT{Hi: n.Key.Hi, Lo: n.Key.Lo, Check: n.Key.Check, Node: n.Node, Op: byte(n.Op)})
+	}
+	return a
+}
+
+// engines is the map as proxies see it, stores included.
+func (t *Directory) engines() (out []*fb.MapEngineT) {
+	down := func(id string) bool { r := t.readers[id]; return r != nil && r.bad >= darkAfter }
+	for _, e := range t.listed {
+		x := &fb.MapEngineT{Id: e.ID, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining, Slots: uint32(e.Slots), Down: down(e.ID)}
+		ms := slices.Sorted(maps.Keys(e.Weights))
+		for _, m := range ms {
+			x.Weights = append(x.Weights, &fb.ModelAtT{Model: m, Version: t.state.Version(e.ID, m, e.Weights[m])})
+		}
+		_, x.Turning = t.state.Turns[e.ID]
+		out = append(out, x)
+	}
+	if t.table != nil {
+		for _, p := range t.table.Stores() {
+			out = append(out, &fb.MapEngineT{Id: storeID(p.Store), Addr: p.Store, Site: p.Site, Store: true, Down: down(storeID(p.Store))})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/app/directory/news.go
@@ -0,0 +1,172 @@
+package directory
+
+import (
+	"context"
+
+	"violetthread/hint"
+	"violetthread/internal/clock"
+	"violetthread/internal/taskgroup"
+	"violetthread/placement"
+	"violetthread/schema/fb"
+)
+
+// newsPage bounds the news in one answer: proxies' links are narrow, and an answer that
+// takes too long is given up and asked of another steward, who would begin anew.
+const newsPage = 1500
+
+// storeID names a store in the map.
+func storeID(addr string) string { return "store " + addr }
+
+// follow makes sure that every engine and store has a reader, and nobody else.
+// Called under the lock.
+func (t *Directory) follow() {
+	want := map[string]string{}
+	node := map[string]uint64{}
+	if t.table != nil {
+		for _, p := range t.table.Stores() {
+			want[storeID(p.Store)], node[storeID(p.Store)] = p.Store, placement.StoreNode(p.Store)
+		}
+		for _, e := range t.listed {
+			if p := t.table.Pool(e.Pool); p != nil && len(p.Models) > 0 {
+				want[e.ID], node[e.ID] = e.Addr, placement.EngineNode(e.ID)
+			}
+		}
+	}
+	for id, r := range t.readers {
+		if _, ok := want[id]; !ok {
+			r.stop()
+			delete(t.readers, id)
+			t.forget(r.node)
+		}
+	}
+	for id, addr := range want {
+		if t.readers[id] == nil {
+			ctx, stop := context.WithCancel(t.group.Context())
+			r := &reader{t: t, id: id, addr: addr, node: node[id], stop: stop}
+			t.readers[id] = r
+			t.group.Go("steward.news", func(context.Context) { r.run(ctx) })
+		}
+	}
+}
+
+// forget drops all that a holder held. Called under the lock.
+func (t *Directory) forget(node uint64) {
+	for k := range t.kept[node] {
+		t.box.Add(hint.News{Key: k, Node: node, Op: hint.Drop})
+	}
+	delete(t.kept, node)
+}
+
+func (t *Directory) allKept() []hint.News {
+	var ns []hint.News
+	for n, ks := range t.kept {
+		for k := range ks {
+			ns = append(ns, hint.News{Key: k, Node: n, Op: hint.Load})
+		}
+	}
+	return ns
+}
+
+// reader follows what one engine or store keeps.
+type reader struct {
+	t     *Directory
+	id    string
+	addr  string
+	node  uint64
+	stop  context.CancelFunc
+	epoch string
+	since string
+	bad   int // questions in a row that failed
+	asked bool
+}
+
+func (r *reader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		q, stop := context.WithTimeout(ctx, clock.Micros(newsHold+400_000))
+		p, err := r.t.pf.News(q, r.addr, r.since, newsHold)
+		stop()
+		if ctx.Err() != nil {
+			return
+		}
+		r.t.mu.Lock()
+		was := r.bad >= darkAfter
+		r.asked = true
+		if err != nil {
+			r.bad++
+		} else {
+			r.bad = 0
+			r.take(p)
+		}
+		if is := r.bad >= darkAfter; is != was {
+			r.t.mapRev++
+			r.t.ring()
+		}
+		r.t.mu.Unlock()
+		if !taskgroup.Pause(ctx, newsPause) {
+			return
+		}
+	}
+}
+
+func (r *reader) take(p Page) {
+	t := r.t
+	if p.Epoch != r.epoch {
+		if r.epoch != "" {
+			t.forget(r.node) // another life of it
+		}
+		if r.epoch != "" && len(p.Changes) == 0 && r.since != "" {
+			// Its numbers began anew: ask from the start.
+			r.epoch, r.since = p.Epoch, ""
+			return
+		}
+		r.epoch = p.Epoch
+	}
+	r.since = p.Next
+	ks := t.kept[r.node]
+	if ks == nil {
+		ks = map[hint.Key]bool{}
+		t.kept[r.node] = ks
+	}
+	for _, c := range p.Changes {
+		k := hint.PartKey(c.Salt, c.Model, c.Part)
+		if c.Kept == ks[k] {
+			continue
+		}
+		op := hint.Load
+		if c.Kept {
+			ks[k] = true
+		} else {
+			delete(ks, k)
+			op = hint.Drop
+		}
+		t.box.Add(hint.News{Key: k, Node: r.node, Op: op})
+	}
+}
+
+func (t *Directory) restOf(q *fb.MapAskT) []hint.News {
+	if q.Node == nil || t.proxies[q.Node.Name] == nil {
+		return nil
+	}
+	return t.proxies[q.Node.Name].rest
+}
+
+// news is the next page for a proxy. Called under the lock.
+func (t *Directory) news(q *fb.MapAskT) hint.Batch {
+	var x *proxy
+	if q.Node != nil {
+		x = t.proxies[q.Node.Name]
+	}
+	if x != nil && len(x.rest) > 0 && q.NewsInc == t.inc {
+		b := hint.Batch{Inc: q.NewsInc, Next: q.NewsSince, News: x.rest[:min(newsPage, len(x.rest))]}
+		x.rest = x.rest[len(b.News):]
+		return b
+	}
+	b := t.box.Since(q.NewsInc, q.NewsSince, newsPage)
+	if x != nil {
+		x.rest = nil
+		if b.Reset && len(b.News) > newsPage {
+			b.News, x.rest = b.News[:newsPage], b.News[newsPage:]
+		}
+	}
+	return b
+}
