--- a/internal/app/directory/answer.go
+++ b/internal/app/directory/answer.go
@@ -23,10 +23,10 @@
 	}
 	q := f.MapAsk
 	if q.Node != nil {
-		t.ctl.Heard(now, q.Node)
+		t.control.Heard(now, q.Node)
 		t.mu.Lock()
-		x := &proxy{at: now, here: true, loads: q.Loads}
-		if o := t.proxies[q.Node.Name]; o != nil && o.here {
+		x := &proxy{at: now, direct: true, loads: q.Loads}
+		if o := t.proxies[q.Node.Name]; o != nil && o.direct {
 			x.rest = o.rest
 		}
 		t.proxies[q.Node.Name] = x
@@ -35,8 +35,8 @@
 	end := now + min(max(q.Hold, 0), holdMost)
 	for {
 		t.mu.Lock()
-		bell := t.bell
-		urgent := t.conf.known && q.Have != t.conf.rev || q.Inc != t.inc || q.NewsInc != t.inc || len(t.restOf(q)) > 0 ||
+		bell := t.changed
+		urgent := t.config.known && q.Have != t.config.rev || q.Inc != t.incarnation || q.NewsInc != t.incarnation || len(t.restOf(q)) > 0 ||
 			q.Map != t.mapRev && clock.Now()-now >= mapPause
 		if q.Map != t.mapRev {
 			end = min(end, now+mapPause) // changes of the map come in lots
@@ -57,26 +57,26 @@
 }
 
 func (t *Directory) tell(q *fb.MapAskT, asked int64) *fb.MapTellT {
-	voters, live := t.ctl.Voters(), t.ctl.Live(clock.Now())
+	voters, live := t.control.Voters(), t.control.Live(clock.Now())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := clock.Now()
-	a := &fb.MapTellT{Inc: t.inc, Site: t.s.Site, Held: now - asked, Known: t.conf.known, Rev: t.conf.rev, Age: now - t.conf.at,
+	a := &fb.MapTellT{Inc: t.incarnation, Site: t.settings.Site, Held: now - asked, Known: t.config.known, Rev: t.config.rev, Age: now - t.config.at,
 		Map: t.mapRev, ListAge: now - t.listAt, Voters: voters}
-	if q.Have != t.conf.rev {
-		a.Config = t.conf.val
+	if q.Have != t.config.rev {
+		a.Config = t.config.val
 	}
 	for _, n := range live {
 		if n.Role == "carrier" {
 			a.Proxies++
 		}
 	}
-	if q.Inc != t.inc || q.Map != t.mapRev {
+	if q.Inc != t.incarnation || q.Map != t.mapRev {
 		a.Whole = true
 		a.Engines = t.engines()
-		for m, ws := range t.first {
+		for m, ws := range t.namedAt {
 			for w, at := range ws {
-				a.Named = append(a.Named, &fb.NamedT{Model: m, Version: w, Age: now - max(at, t.dutyAt)})
+				a.Named = append(a.Named, &fb.NamedT{Model: m, Version: w, Age: now - max(at, t.dutySince)})
 			}
 		}
 	}
@@ -85,13 +85,13 @@
 		return x.Model < y.Model || x.Model == y.Model && x.Version < y.Version
 	})
 	if q.Node == nil {
-		return a // another steward, who follows the engines itself
+		return a // another node, who follows the engines itself
 	}
 	a.Loads = t.others(now, q.Node.Name)
 	b := t.news(q)
 	a.Complete = len(t.readers) > 0 && len(t.restOf(q)) == 0
 	for _, r := range t.readers {
-		a.Complete = a.Complete && r.asked
+		a.Complete = a.Complete && r.answered
 	}
 	a.NewsInc, a.NewsNext, a.NewsReset = b.Inc, b.Next, b.Reset
 	for _, n := range b.News {
@@ -102,7 +102,7 @@
 
 // engines is the map as proxies see it, stores included.
 func (t *Directory) engines() (out []*fb.MapEngineT) {
-	down := func(id string) bool { r := t.readers[id]; return r != nil && r.bad >= darkAfter }
+	down := func(id string) bool { r := t.readers[id]; return r != nil && r.failures >= downAfter }
 	for _, e := range t.listed {
 		x := &fb.MapEngineT{Id: e.ID, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining, Slots: uint32(e.Slots), Down: down(e.ID)}
 		ms := slices.Sorted(maps.Keys(e.Weights))
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -5,8 +5,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
-	"strconv"
-	"strings"
 	"sync"
 
 	"github.com/go-logr/logr"
@@ -25,7 +23,7 @@
 // RolloutKey is the register that holds who is turning to new weights.
 const RolloutKey = "route/rollout"
 
-// Settings of a steward. Times are microseconds.
+// Settings of a directory. Times are microseconds.
 type Settings struct {
 	Name, Site string
 	Wire       string // where the control node beside it listens
@@ -44,85 +42,94 @@
 	newsHold     = 900_000
 	holdMost     = 400_000
 	mapPause     = 60_000
-	darkAfter    = 2 // questions in a row that failed, until an engine counts as down
+	downAfter    = 2 // questions in a row that failed, until an engine counts as down
 )
 
 // Directory is one core machine's part.
 type Directory struct {
-	s     Settings
-	log   logr.Logger
-	group *taskgroup.Group
-	ctl   Control
-	pf    Platform
-	inc   uint64
-
-	mu        sync.Mutex
-	bell      chan struct{} // closed when something urgent changed
-	conf      register
-	named     register
-	roll      register
-	table     *route.Table
-	listed    []Listed
-	listAt    int64
-	refreshAt int64
-	// Only the list's own loop uses these: which map of the first steward in line this
+	settings    Settings
+	log         logr.Logger
+	group       *taskgroup.Group
+	control     Control
+	platform    Platform
+	incarnation uint64
+	duty        *dutyHolder
+
+	mu      sync.Mutex
+	changed chan struct{} // closed when something urgent changed
+	mapRev  uint64
+
+	config       register
+	weights      register
+	rollout      register
+	dutyRegister register
+	refreshAt    int64
+	table        *route.Table
+	state        rollout.State
+	newest       map[string]uint64           // newest version named of each model
+	namedAt      map[string]map[uint64]int64 // model, version: when first heard of
+	dutySince    int64                       // when the holder of the weights' duty was seen to change
+
+	listed []Listed
+	listAt int64
+	// Only the list's own loop uses these: which map of the first node in line this
 	// one's list equals, and when it was asked.
-	first1     string
-	farInc     uint64
-	farMap     uint64
+	firstInc   uint64
+	firstMap   uint64
 	askedFirst int64
-	mapRev     uint64
-	state      rollout.State
-	wanted     map[string]uint64           // newest version named of each model
-	first      map[string]map[uint64]int64 // model, version: when first heard of
-	readers    map[string]*reader
-	box        *hint.Outbox
-	kept       map[uint64]map[hint.Key]bool
-	dealer     *dealer
-	proxies    map[string]*proxy
-	duty       register
-	dutyAt     int64 // when the holder of the weights' duty was seen to change
-}
 
-const (
-	loadsOld   = 1_500_000
-	loadsEvery = 200_000
-)
+	readers  map[string]*reader
+	outbox   *hint.Outbox
+	holdings map[uint64]map[hint.Key]bool // what each engine and store keeps
+	proxies  map[string]*proxy
+}
 
-// New makes a steward and starts its loops on the group.
-func New(c *taskgroup.Group, s Settings, ctl Control, pf Platform) *Directory {
-	var b [8]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		panic(err) // no machine of ours is without random numbers
-	}
-	t := &Directory{s: s, log: c.Log(), group: c, ctl: ctl, pf: pf, inc: binary.LittleEndian.Uint64(b[:])>>24 | 1,
-		bell: make(chan struct{}), first: map[string]map[uint64]int64{}, readers: map[string]*reader{}, kept: map[uint64]map[hint.Key]bool{}, mapRev: 1, proxies: map[string]*proxy{}}
-	t.box = hint.NewOutbox(t.inc, 1<<13, t.allKept)
-	t.dealer = &dealer{looked: map[string]int64{}, holder: fmt.Sprintf("%s#%x", s.Name, t.inc)}
+// New makes a directory and starts its loops on the group.
+func New(group *taskgroup.Group, s Settings, control Control, platform Platform) *Directory {
+	t := newDirectory(group, s, control, platform)
 	every := func(name string, us int64, f func(context.Context)) {
-		c.Go(name, func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(us), f) })
+		group.Go(name, func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(us), f) })
 	}
-	every("steward.registers", refreshFirst, t.refreshDue)
-	every("steward.list", listLook, t.list)
-	every("steward.conduct", conductEvery, t.conduct)
-	every("steward.loads", loadsEvery, t.tellLoads)
+	every("directory.registers", refreshFirst, t.refreshDue)
+	every("directory.list", listLook, t.list)
+	every("directory.conduct", conductEvery, t.conduct)
+	every("directory.loads", loadsEvery, t.tellLoads)
 	return t
 }
 
-// ring tells all who wait that something urgent changed. Called under the lock.
-func (t *Directory) ring() {
-	close(t.bell)
-	t.bell = make(chan struct{})
+// newDirectory makes a directory without its loops.
+func newDirectory(group *taskgroup.Group, s Settings, control Control, platform Platform) *Directory {
+	incarnation := drawIncarnation()
+	t := &Directory{
+		settings:    s,
+		log:         group.Log(),
+		group:       group,
+		control:     control,
+		platform:    platform,
+		incarnation: incarnation,
+		duty:        &dutyHolder{inspectedAt: map[string]int64{}, holder: fmt.Sprintf("%s#%x", s.Name, incarnation)},
+		changed:     make(chan struct{}),
+		mapRev:      1,
+		namedAt:     map[string]map[uint64]int64{},
+		readers:     map[string]*reader{},
+		holdings:    map[uint64]map[hint.Key]bool{},
+		proxies:     map[string]*proxy{},
+	}
+	t.outbox = hint.NewOutbox(incarnation, 1<<13, t.allKept)
+	return t
 }
 
-// unsettledFor is how long before a change of the duty's holder the core may have
-// been settled again: a lease runs out a while after its holder was lost.
-const unsettledFor = 4_000_000
+// drawIncarnation draws the number of this life of the directory.
+func drawIncarnation() uint64 {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err) // no machine of ours is without random numbers
+	}
+	return binary.LittleEndian.Uint64(b[:])>>24 | 1
+}
 
-// Describe is a line for operators and the log.
-func (t *Directory) Describe() string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return strings.Join([]string{"config=" + strconv.FormatUint(t.conf.rev, 10), "engines=" + strconv.Itoa(len(t.listed)),
-		"turning=" + strconv.Itoa(len(t.state.Turns))}, " ")
+// notify tells all who wait that something urgent changed. Called under the lock.
+func (t *Directory) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
 }
--- a/internal/app/directory/list.go
+++ b/internal/app/directory/list.go
@@ -10,19 +10,20 @@
 	"violetthread/schema/fb"
 )
 
-// list brings the list of engines up to date. The first steward in line asks the
+// list brings the list of engines up to date. The first node in line asks the
 // platform, whose calls are dear; the others ask that one, and the platform only if it
 // has nothing fresh to tell. A list that was pushed would be taken for new by whoever
 // thaws or whose wire heals (design §3), so it is asked for, and its age counts from then.
 func (t *Directory) list(ctx context.Context) {
 	now := clock.Now()
 	t.mu.Lock()
-	at, place, first := t.listAt, t.place(), t.first1
+	at := t.listAt
 	t.mu.Unlock()
-	if now-at < t.s.ListEvery {
+	if now-at < t.settings.ListEvery {
 		return
 	}
-	if place > 0 && now-t.askedFirst >= t.s.ListEvery/2 {
+	place, first := placeInLine(t.control.Voters(), t.settings.Wire)
+	if place > 0 && now-t.askedFirst >= t.settings.ListEvery/2 {
 		t.askedFirst = now
 		t.listFrom(ctx, first)
 		now = clock.Now()
@@ -30,34 +31,33 @@
 	t.mu.Lock()
 	at = t.listAt
 	t.mu.Unlock()
-	if now-at < t.s.ListEvery+place*listTurn {
+	if now-at < t.settings.ListEvery+place*listTurn {
 		return
 	}
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(900_000))
 	defer stop()
-	if l, err := t.pf.List(ctx); err == nil {
+	if l, err := t.platform.List(ctx); err == nil {
 		t.takeList(now, l)
 	}
 }
 
-// listTurn is how much longer than the one before it a steward goes without a list
+// listTurn is how much longer than the one before it a node goes without a list
 // before it asks the platform itself.
 const listTurn = 300_000
 
-// place is this steward's place in line for the list. Called under the lock.
-func (t *Directory) place() int64 {
-	vs := slices.Sorted(slices.Values(t.ctl.Voters()))
-	if len(vs) == 0 {
-		return 0
+// placeInLine is a node's place in line for asking the platform, and who is first.
+func placeInLine(voters []string, self string) (place int64, first string) {
+	if len(voters) == 0 {
+		return 0, ""
 	}
-	t.first1 = vs[0]
-	return int64(max(0, slices.Index(vs, t.s.Wire)))
+	line := slices.Sorted(slices.Values(voters))
+	return int64(max(0, slices.Index(line, self))), line[0]
 }
 
-// listFrom takes over the list that another steward has.
+// listFrom takes over the list that another node has.
 func (t *Directory) listFrom(ctx context.Context, addr string) {
 	at := clock.Now()
-	f, err := t.ctl.Ask(ctx, addr, &fb.FrameT{MapAsk: &fb.MapAskT{Inc: t.farInc, Map: t.farMap, NewsInc: 1}}, 400_000)
+	f, err := t.control.Ask(ctx, addr, &fb.FrameT{MapAsk: &fb.MapAskT{Inc: t.firstInc, Map: t.firstMap, NewsInc: 1}}, 400_000)
 	if err != nil || f.MapTell == nil {
 		return
 	}
@@ -80,7 +80,7 @@
 		l = append(l, Listed{ID: e.Id, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining, Slots: int(e.Slots), Weights: w})
 	}
 	if t.takeList(at-a.ListAge, l) {
-		t.farInc, t.farMap = a.Inc, a.Map
+		t.firstInc, t.firstMap = a.Inc, a.Map
 	}
 }
 
@@ -92,14 +92,14 @@
 	if at <= t.listAt {
 		return false
 	}
-	t.listAt, t.farInc = at, 0
+	t.listAt, t.firstInc = at, 0
 	if !slices.EqualFunc(l, t.listed, func(a, b Listed) bool {
 		return a.ID == b.ID && a.Addr == b.Addr && a.Pool == b.Pool && a.Draining == b.Draining && maps.Equal(a.Weights, b.Weights)
 	}) {
 		t.listed = l
 		t.mapRev++
-		t.ring()
+		t.notify()
 	}
-	t.follow()
+	t.followHolders()
 	return true
 }
--- a/internal/app/directory/loads.go
+++ b/internal/app/directory/loads.go
@@ -8,15 +8,20 @@
 	"violetthread/schema/fb"
 )
 
-// proxy is what a proxy has under way, as last told here or to another steward.
+const (
+	loadsOld   = 1_500_000 // what a proxy had under way counts no longer than this
+	loadsEvery = 200_000   // between two tellings to the other control nodes
+)
+
+// proxy is what a proxy has under way, as last told here or to another node.
 type proxy struct {
-	at    int64
-	here  bool
-	loads []*fb.LoadT
-	rest  []hint.News // of a snapshot that it gets in pages
+	at     int64
+	direct bool // it asks this node
+	loads  []*fb.LoadT
+	rest   []hint.News // of a snapshot that it gets in pages
 }
 
-// tellLoads tells the other stewards what the proxies that ask here have under way.
+// tellLoads tells the other nodes what the proxies that ask here have under way.
 func (t *Directory) tellLoads(context.Context) {
 	now := clock.Now()
 	m := &fb.LoadTellT{}
@@ -25,7 +30,7 @@
 		switch {
 		case now-p.at > loadsOld:
 			delete(t.proxies, n)
-		case p.here:
+		case p.direct:
 			m.Proxies = append(m.Proxies, &fb.ProxyLoadT{Name: n, Age: now - p.at, Loads: p.loads})
 		}
 	}
@@ -33,7 +38,7 @@
 	if len(m.Proxies) == 0 {
 		return
 	}
-	t.ctl.Tell(&fb.FrameT{LoadTell: m})
+	t.control.Tell(&fb.FrameT{LoadTell: m})
 }
 
 func (t *Directory) hearLoads(now int64, m *fb.LoadTellT) {
--- a/internal/app/directory/news.go
+++ b/internal/app/directory/news.go
@@ -11,15 +11,15 @@
 )
 
 // newsPage bounds the news in one answer: proxies' links are narrow, and an answer that
-// takes too long is given up and asked of another steward, who would begin anew.
+// takes too long is given up and asked of another node, who would begin anew.
 const newsPage = 1500
 
 // storeID names a store in the map.
 func storeID(addr string) string { return "store " + addr }
 
-// follow makes sure that every engine and store has a reader, and nobody else.
+// followHolders makes sure that every engine and store has a reader, and nobody else.
 // Called under the lock.
-func (t *Directory) follow() {
+func (t *Directory) followHolders() {
 	want := map[string]string{}
 	node := map[string]uint64{}
 	if t.table != nil {
@@ -44,22 +44,22 @@
 			ctx, stop := context.WithCancel(t.group.Context())
 			r := &reader{t: t, id: id, addr: addr, node: node[id], stop: stop}
 			t.readers[id] = r
-			t.group.Go("steward.news", func(context.Context) { r.run(ctx) })
+			t.group.Go("directory.news", func(context.Context) { r.run(ctx) })
 		}
 	}
 }
 
 // forget drops all that a holder held. Called under the lock.
 func (t *Directory) forget(node uint64) {
-	for k := range t.kept[node] {
-		t.box.Add(hint.News{Key: k, Node: node, Op: hint.Drop})
+	for k := range t.holdings[node] {
+		t.outbox.Add(hint.News{Key: k, Node: node, Op: hint.Drop})
 	}
-	delete(t.kept, node)
+	delete(t.holdings, node)
 }
 
 func (t *Directory) allKept() []hint.News {
 	var ns []hint.News
-	for n, ks := range t.kept {
+	for n, ks := range t.holdings {
 		for k := range ks {
 			ns = append(ns, hint.News{Key: k, Node: n, Op: hint.Load})
 		}
@@ -69,37 +69,37 @@
 
 // reader follows what one engine or store keeps.
 type reader struct {
-	t     *Directory
-	id    string
-	addr  string
-	node  uint64
-	stop  context.CancelFunc
-	epoch string
-	since string
-	bad   int // questions in a row that failed
-	asked bool
+	t        *Directory
+	id       string
+	addr     string
+	node     uint64
+	stop     context.CancelFunc
+	epoch    string
+	since    string
+	failures int // questions in a row that failed
+	answered bool
 }
 
 func (r *reader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		q, stop := context.WithTimeout(ctx, clock.Micros(newsHold+400_000))
-		p, err := r.t.pf.News(q, r.addr, r.since, newsHold)
+		p, err := r.t.platform.News(q, r.addr, r.since, newsHold)
 		stop()
 		if ctx.Err() != nil {
 			return
 		}
 		r.t.mu.Lock()
-		was := r.bad >= darkAfter
-		r.asked = true
+		was := r.failures >= downAfter
+		r.answered = true
 		if err != nil {
-			r.bad++
+			r.failures++
 		} else {
-			r.bad = 0
+			r.failures = 0
 			r.take(p)
 		}
-		if is := r.bad >= darkAfter; is != was {
+		if is := r.failures >= downAfter; is != was {
 			r.t.mapRev++
-			r.t.ring()
+			r.t.notify()
 		}
 		r.t.mu.Unlock()
 		if !taskgroup.Pause(ctx, newsPause) {
@@ -122,10 +122,10 @@
 		r.epoch = p.Epoch
 	}
 	r.since = p.Next
-	ks := t.kept[r.node]
+	ks := t.holdings[r.node]
 	if ks == nil {
 		ks = map[hint.Key]bool{}
-		t.kept[r.node] = ks
+		t.holdings[r.node] = ks
 	}
 	for _, c := range p.Changes {
 		k := hint.PartKey(c.Salt, c.Model, c.Part)
@@ -139,7 +139,7 @@
 			delete(ks, k)
 			op = hint.Drop
 		}
-		t.box.Add(hint.News{Key: k, Node: r.node, Op: op})
+		t.outbox.Add(hint.News{Key: k, Node: r.node, Op: op})
 	}
 }
 
@@ -156,12 +156,12 @@
 	if q.Node != nil {
 		x = t.proxies[q.Node.Name]
 	}
-	if x != nil && len(x.rest) > 0 && q.NewsInc == t.inc {
+	if x != nil && len(x.rest) > 0 && q.NewsInc == t.incarnation {
 		b := hint.Batch{Inc: q.NewsInc, Next: q.NewsSince, News: x.rest[:min(newsPage, len(x.rest))]}
 		x.rest = x.rest[len(b.News):]
 		return b
 	}
-	b := t.box.Since(q.NewsInc, q.NewsSince, newsPage)
+	b := t.outbox.Since(q.NewsInc, q.NewsSince, newsPage)
 	if x != nil {
 		x.rest = nil
 		if b.Reset && len(b.News) > newsPage {
--- a/internal/app/directory/registers.go
+++ b/internal/app/directory/registers.go
@@ -21,57 +21,54 @@
 // refreshDue refreshes when it is time to; after a start that is sooner.
 func (t *Directory) refreshDue(ctx context.Context) {
 	t.mu.Lock()
-	due := !t.conf.known || clock.Now()-t.refreshAt >= refreshEvery-refreshFirst/2
+	due := !t.config.known || clock.Now()-t.refreshAt >= refreshEvery-refreshFirst/2
 	t.mu.Unlock()
 	if due {
-		t.refresh(ctx)
+		t.Refresh(ctx)
 	}
 }
 
-// refresh reads the registers anew; ages count from before the question.
-func (t *Directory) refresh(ctx context.Context) {
+// Refresh reads the registers anew; ages count from before the question.
+func (t *Directory) Refresh(ctx context.Context) {
 	t.mu.Lock()
 	t.refreshAt = clock.Now()
 	t.mu.Unlock()
-	t.read(ctx, route.ConfigKey, &t.conf, func(v []byte, rev uint64) {
-		if tab := t.s.Parse(v, rev); tab != nil {
+	t.read(ctx, route.ConfigKey, &t.config, func(v []byte, rev uint64) {
+		if tab := t.settings.Parse(v, rev); tab != nil {
 			t.table = tab
 		}
 	})
-	t.read(ctx, route.WeightsKey, &t.named, func(v []byte, _ uint64) {
+	t.read(ctx, route.WeightsKey, &t.weights, func(v []byte, _ uint64) {
 		d, err := route.ReadWeights(v)
 		if err != nil {
 			return
 		}
 		now := clock.Now()
-		t.wanted = newestOf(d)
+		t.newest = newestOf(d)
 		for _, m := range d.Models {
-			old := t.first[m.Model]
-			t.first[m.Model] = map[uint64]int64{}
+			old := t.namedAt[m.Model]
+			t.namedAt[m.Model] = map[uint64]int64{}
 			for _, w := range m.Versions[max(0, len(m.Versions)-namedKept):] {
 				at, ok := old[w]
 				if !ok {
 					at = now
 				}
-				t.first[m.Model][w] = at
+				t.namedAt[m.Model][w] = at
 			}
 		}
 	})
-	t.read(ctx, WeightsDuty, &t.duty, func(_ []byte, rev uint64) {
+	t.read(ctx, WeightsDuty, &t.dutyRegister, func(_ []byte, rev uint64) {
 		if rev > 1 {
-			t.dutyAt = clock.Now() - unsettledFor
+			t.dutySince = clock.Now() - unsettledFor
 		}
 	})
-	t.read(ctx, RolloutKey, &t.roll, func(v []byte, _ uint64) {
+	t.read(ctx, RolloutKey, &t.rollout, func(v []byte, _ uint64) {
 		if s, err := rollout.Read(v); err == nil {
 			t.state = s
 		}
 	})
 }
 
-// Refresh reads the registers at once, for whoever has just changed one.
-func (t *Directory) Refresh(ctx context.Context) { t.refresh(ctx) }
-
 func (t *Directory) read(ctx context.Context, key string, r *register, take func([]byte, uint64)) {
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(700_000))
 	defer stop()
@@ -79,7 +76,7 @@
 	have := r.rev
 	t.mu.Unlock()
 	at := clock.Now()
-	a := t.ctl.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpGet), Key: key, Have: have})
+	a := t.control.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpGet), Key: key, Have: have})
 	if quorum.Status(a.Status) != quorum.Done {
 		return
 	}
@@ -97,7 +94,7 @@
 		r.val = a.Val
 		take(a.Val, a.Rev)
 		t.mapRev++
-		t.ring()
+		t.notify()
 	}
 }
 
