Orders to engines: lease and fence looked at as they are written

Cause, four gaps found by reading: (1) an order's fence was read when its goroutine ran, so one that was decided under an earlier hold of the duty could go out under a later one, with another holder's orders in between; (2) a pause between the last look at the lease and the write sent it late; (3) an order that was given up on a cut link was closed politely, so that the kernel sent it again when the link healed; (4) a polite stop gave the duty back with orders under way, and the loop could take it again at once. And a node that became conductor before it had read the platform's list took all engines for gone and wrote so: who may have been ordered was forgotten.

Ruled out: fences alone (not all engines check them); a longer wait of the successor (it counts from its grant, which a polite stop brings forward).

Change: rollout.Lease.Permit decides, purely; it is asked before an order and again as its body is read for writing (platform.permittedBody). The fence is the one it was decided under. Leave waits for orders under way (0.8 s at the most) and holds no more. conduct waits for the list.

Left: a freeze after the kernel took the bytes; they leave within the thaw's grace.

--- a/internal/app/directory/conduct.go
+++ b/internal/app/directory/conduct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"violetthread/internal/clock"
 	"violetthread/quorum"
@@ -18,10 +19,6 @@
 // been settled again: a lease runs out a while after its holder was lost.
 const unsettledFor = 4_000_000
 
-// orderMost is how long an order may be on its way; none is sent so shortly before the
-// lease ends.
-const orderMost = 800_000
-
 const leaseSlack = 300_000 // the holder stops this much before its lease ends
 
 // inspectEvery is how often a turning engine is asked itself, which has its price.
@@ -32,9 +29,10 @@
 	mu          sync.Mutex
 	inspectedAt map[string]int64
 	holder      string
-	fence       uint64
-	until       int64 // by this node's clock, counted from before it asked
-	since       int64 // when this node came to hold it
+	lease       atomic.Pointer[rollout.Lease] // read where conduct may hold the lock for long
+	leaving     bool                          // the duty is given back and not asked for again
+	sending     sync.WaitGroup                // orders under way
+	since       int64                         // when this node came to hold it
 	conductor   *rollout.Conductor
 	stateRev    uint64 // of the roll-out's register as written here
 }
@@ -44,13 +42,17 @@
 	d := t.duty
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.leaving {
+		return
+	}
 	now := clock.Now()
 	if !t.renewDuty(ctx, now) {
 		d.conductor = nil
 		return
 	}
 	now = clock.Now()
-	if now >= d.until {
+	lease := *d.lease.Load() // what is decided goes out under the lease that it was decided under
+	if now >= lease.Until {
 		return
 	}
 	if d.conductor == nil {
@@ -64,6 +66,9 @@
 		}
 		d.conductor, d.stateRev = rollout.New(rollout.Defaults(t.settings.Bounds.VersionApplyUS, t.settings.Bounds.LeaseUS), now, d.since, s), a.Rev
 	}
+	if !t.listKnown() {
+		return // without it every engine would look gone, and who was ordered be forgotten
+	}
 	var es []rollout.Engine
 	byID := map[string]rollout.Engine{}
 	t.mu.Lock()
@@ -79,9 +84,7 @@
 	if changed && !t.saveState(ctx, d) {
 		return
 	}
-	for _, o := range orders {
-		t.group.Go("directory.order", func(ctx context.Context) { t.order(ctx, o, d.fence) })
-	}
+	t.send(orders, lease.Fence)
 	for _, id := range look {
 		if now-d.inspectedAt[id] >= inspectEvery {
 			d.inspectedAt[id] = now
@@ -90,6 +93,17 @@
 	}
 }
 
+// send sends orders that were decided under the lease with this fence.
+func (t *Directory) send(orders []rollout.Order, fence uint64) {
+	for _, o := range orders {
+		t.duty.sending.Add(1)
+		t.group.Go("directory.order", func(ctx context.Context) {
+			defer t.duty.sending.Done()
+			t.order(ctx, o, fence)
+		})
+	}
+}
+
 // saveState writes the roll-out's state before anybody acts on it.
 func (t *Directory) saveState(ctx context.Context, d *dutyHolder) bool {
 	val := d.conductor.S.Bytes()
@@ -114,38 +128,45 @@
 // renewDuty asks for the duty's lease, or for more of it.
 func (t *Directory) renewDuty(ctx context.Context, now int64) bool {
 	d := t.duty
+	lease := *d.lease.Load()
 	term := t.settings.Bounds.LeaseUS + 500_000
-	if d.until-now > term*2/3 {
+	if lease.Until-now > term*2/3 {
 		return true
 	}
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(800_000))
 	defer stop()
 	a := t.control.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpHold), Key: WeightsDuty, Holder: d.holder, Term: term})
 	if quorum.Status(a.Status) != quorum.Done {
-		return now < d.until
+		return now < lease.Until
 	}
-	if a.Rev != d.fence {
-		d.fence, d.conductor, d.since = a.Rev, nil, now-unsettledFor
+	if a.Rev != lease.Fence {
+		d.conductor, d.since = nil, now-unsettledFor
 		t.log.Info("duty", "key", WeightsDuty, "fence", a.Rev)
 	}
-	d.until = now + term - leaseSlack
+	d.lease.Store(&rollout.Lease{Fence: a.Rev, Until: now + term - leaseSlack})
 	return true
 }
 
+// listKnown reports whether the platform's list was ever read in this life.
+func (t *Directory) listKnown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listAt > 0
+}
+
+// order sends an order that was decided under the lease with this fence.
 func (t *Directory) order(ctx context.Context, o rollout.Order, fence uint64) {
-	ctx, stop := context.WithTimeout(ctx, clock.Micros(orderMost))
+	ctx, stop := context.WithTimeout(ctx, clock.Micros(rollout.OrderTime))
 	defer stop()
 	d := t.duty
-	d.mu.Lock()
-	mine := clock.Now() < d.until-orderMost && d.fence == fence
-	d.mu.Unlock()
-	if !mine {
-		return
+	permit := func() error { return d.lease.Load().Permit(clock.Now(), fence) }
+	answer := Withheld
+	if permit() == nil {
+		answer = t.platform.Order(ctx, Order{o.Engine, o.Addr, o.Model, o.Version, d.holder, fence, permit})
 	}
-	r := t.platform.Order(ctx, Order{o.Engine, o.Addr, o.Model, o.Version, d.holder, fence})
-	t.log.Info("order", "engine", o.Engine, "model", o.Model, "version", o.Version, "fence", fence, "answer", int(r))
+	t.log.Info("order", "engine", o.Engine, "model", o.Model, "version", o.Version, "fence", fence, "answer", answer.String())
 	t.withConductor(func(c *rollout.Conductor, now int64) {
-		switch r {
+		switch answer {
 		case Holds:
 			c.Seen(o.Engine, o.Model, o.Version)
 		case Busy, Refused:
@@ -178,14 +199,18 @@
 	}
 }
 
-// Leave gives the duty back, so that another need not wait its lease out.
+// Leave gives the duty back, so that another need not wait its lease out. It waits for
+// orders that are under way: the next holder's must not come close behind them.
 func (t *Directory) Leave(ctx context.Context) {
 	d := t.duty
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if clock.Now() < d.until {
-		d.until = 0
-		t.control.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpFree), Key: WeightsDuty, Holder: d.holder, Expect: d.fence})
+	lease := *d.lease.Load()
+	d.lease.Store(&rollout.Lease{})
+	d.leaving, d.conductor = true, nil
+	d.mu.Unlock()
+	if clock.Now() >= lease.Until {
+		return
 	}
-	d.conductor = nil
+	d.sending.Wait()
+	t.control.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpFree), Key: WeightsDuty, Holder: d.holder, Expect: lease.Fence})
 }
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -115,6 +115,7 @@
 		holdings:    map[uint64]map[hint.Key]bool{},
 		proxies:     map[string]*proxy{},
 	}
+	t.duty.lease.Store(&rollout.Lease{})
 	t.outbox = hint.NewOutbox(incarnation, 1<<13, t.allKept)
 	return t
 }
--- a/internal/app/directory/port.go
+++ b/internal/app/directory/port.go
@@ -23,6 +23,9 @@
 	Version             uint64
 	Holder              string
 	Fence               uint64
+	// Permit is asked at the last moment before the order is written, and tells why it
+	// must not be: the process may have been paused since the order was decided.
+	Permit func() error
 }
 
 // Taken is how an engine answered an order.
@@ -30,7 +33,7 @@
 
 // Unheard: no answer, it may have been taken. Doing: under way. Holds: in force already.
 // Busy: another order is under way. Fenced: a higher fence was seen. Refused: not this
-// engine, or no such order.
+// engine, or no such order. Withheld: it was not permitted any more, and never sent.
 const (
 	Unheard Taken = iota
 	Doing
@@ -38,8 +41,13 @@
 	Busy
 	Fenced
 	Refused
+	Withheld
 )
 
+func (t Taken) String() string {
+	return [...]string{"unheard", "doing", "holds", "busy", "fenced", "refused", "withheld"}[t]
+}
+
 // Change is one piece of an engine's news about what it keeps.
 type Change struct {
 	Kept              bool
