--- a/internal/app/directory/port.go
+++ b/internal/app/directory/port.go
@@ -24,7 +24,8 @@
 	Holder              string
 	Fence               uint64
 	// Permit is asked at the last moment before the order is written, and tells why it
-	// must not be: the process may have been paused since the order was decided.
+	// must not be: the process may have been paused since the order was decided. Nil
+	// permits always.
 	Permit func() error
 }
 
