Weights' ages never grow younger, and an older map waits for a newer one

Cause, found by reading: (1) a directory node counted a version's age from when it first heard of it, so that one that heard late told a young age, and a proxy that went over to it took that over: older weights could be begun past the bound. (2) Whether a node is out of touch was told by the configuration's age alone; the registers of weights and roll-outs have other owners. (3) A proxy took whatever map the node it went over to told: an older list of engines in place of a newer one, or, from a node that had just started and read no list, one without engines. (4) A node that is cut off loses sight of proxies, and each of those that ask it then spends a larger part of the budget for further sends than it may.

Ruled out: the time of naming in the register as wall time (clocks jump); as the owner's age (owners change, and a new one would have to guess); taking a node's ages as they are unless the node is new (it can be old and have heard late).

Change: route.Namings keeps since when versions are named. A directory node counts from its last look that did not show the version, 4 s ago at the earliest: a node that could not look for longer was in trouble, or the core was, and the bound counts anew after that. Ages count in epochs, the duty's revision; within one the earliest told stays, at proxies and at nodes, which take the first in line's over once a second. Answers carry the age of the two registers, and a proxy goes over when it is above 1 s. A map whose list is older than the one in use waits until its node has looked again, 3 s at the most; one without a list is never used. The number of proxies falls only by the word of a node in touch.

--- a/internal/app/directory/answer.go
+++ b/internal/app/directory/answer.go
@@ -4,10 +4,10 @@
 	"context"
 	"maps"
 	"slices"
-	"sort"
 
 	"violetthread/internal/clock"
 	"violetthread/internal/taskgroup"
+	"violetthread/internal/wire"
 	"violetthread/schema/fb"
 )
 
@@ -62,7 +62,7 @@
 	defer t.mu.Unlock()
 	now := clock.Now()
 	a := &fb.MapTellT{Inc: t.incarnation, Site: t.settings.Site, Held: now - asked, Known: t.config.known, Rev: t.config.rev, Age: now - t.config.at,
-		Map: t.mapRev, ListAge: now - t.listAt, Voters: voters}
+		Map: t.mapRev, ListAge: ageSince(now, t.listAt), Voters: voters}
 	if q.Have != t.config.rev {
 		a.Config = t.config.val
 	}
@@ -74,16 +74,12 @@
 	if q.Inc != t.incarnation || q.Map != t.mapRev {
 		a.Whole = true
 		a.Engines = t.engines()
-		for m, ws := range t.namedAt {
-			for w, at := range ws {
-				a.Named = append(a.Named, &fb.NamedT{Model: m, Version: w, Age: now - max(at, t.dutySince)})
-			}
-		}
 	}
-	sort.Slice(a.Named, func(i, j int) bool {
-		x, y := a.Named[i], a.Named[j]
-		return x.Model < y.Model || x.Model == y.Model && x.Version < y.Version
-	})
+	if a.Whole || q.Node == nil {
+		a.Named = t.named(now)
+		a.NamedEpoch = t.namings.Epoch()
+	}
+	a.NamedAge = ageSince(now, min(t.weights.at, t.rollout.at))
 	if q.Node == nil {
 		return a // another node, who follows the engines itself
 	}
@@ -100,6 +96,14 @@
 	return a
 }
 
+// ageSince is the age of what was read at a time, or wire.NeverRead.
+func ageSince(now, at int64) int64 {
+	if at == 0 {
+		return wire.NeverRead
+	}
+	return now - at
+}
+
 // engines is the map as proxies see it, stores included.
 func (t *Directory) engines() (out []*fb.MapEngineT) {
 	down := func(id string) bool { r := t.readers[id]; return r != nil && r.failures >= downAfter }
@@ -119,3 +123,11 @@
 	}
 	return out
 }
+
+// named tells how long ago each version of weights was named. Called under the lock.
+func (t *Directory) named(now int64) (out []*fb.NamedT) {
+	t.namings.Each(func(model string, version uint64, at int64) {
+		out = append(out, &fb.NamedT{Model: model, Version: version, Age: now - at})
+	})
+	return out
+}
--- a/internal/app/directory/conduct.go
+++ b/internal/app/directory/conduct.go
@@ -72,8 +72,9 @@
 	var es []rollout.Engine
 	byID := map[string]rollout.Engine{}
 	t.mu.Lock()
-	for m, w := range t.newest {
-		d.conductor.Name(m, w, t.namedAt[m][w])
+	for model, version := range t.newest {
+		at, _ := t.namings.At(model, version)
+		d.conductor.Name(model, version, at)
 	}
 	for _, e := range t.listed {
 		engine := rollout.Engine{ID: e.ID, Addr: e.Addr, Pool: e.Pool, Site: e.Site, Draining: e.Draining, Weights: e.Weights, At: t.listAt}
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -64,11 +64,11 @@
 	rollout      register
 	dutyRegister register
 	refreshAt    int64
+	startedAt    int64
 	table        *route.Table
 	state        rollout.State
-	newest       map[string]uint64           // newest version named of each model
-	namedAt      map[string]map[uint64]int64 // model, version: when first heard of
-	dutySince    int64                       // when the holder of the weights' duty was seen to change
+	newest       map[string]uint64 // newest version named of each model
+	namings      route.Namings
 
 	listed []Listed
 	listAt int64
@@ -110,7 +110,7 @@
 		duty:        &dutyHolder{inspectedAt: map[string]int64{}, holder: fmt.Sprintf("%s#%x", s.Name, incarnation)},
 		changed:     make(chan struct{}),
 		mapRev:      1,
-		namedAt:     map[string]map[uint64]int64{},
+		startedAt:   clock.Now(),
 		readers:     map[string]*reader{},
 		holdings:    map[uint64]map[hint.Key]bool{},
 		proxies:     map[string]*proxy{},
--- a/internal/app/directory/list.go
+++ b/internal/app/directory/list.go
@@ -7,6 +7,7 @@
 	"sort"
 
 	"violetthread/internal/clock"
+	"violetthread/internal/wire"
 	"violetthread/schema/fb"
 )
 
@@ -62,6 +63,9 @@
 		return
 	}
 	a := f.MapTell
+	t.mu.Lock()
+	t.namings.Take(wire.Namings(a, at))
+	t.mu.Unlock()
 	if !a.Whole {
 		t.mu.Lock()
 		t.listAt = max(t.listAt, at-a.ListAge) // it stands
--- a/internal/app/directory/registers.go
+++ b/internal/app/directory/registers.go
@@ -33,43 +33,55 @@
 	t.mu.Lock()
 	t.refreshAt = clock.Now()
 	t.mu.Unlock()
-	t.read(ctx, route.ConfigKey, &t.config, func(v []byte, rev uint64) {
+	t.read(ctx, route.ConfigKey, &t.config, func(v []byte, rev uint64, _ int64) {
 		if tab := t.settings.Parse(v, rev); tab != nil {
 			t.table = tab
 		}
 	})
-	t.read(ctx, route.WeightsKey, &t.weights, func(v []byte, _ uint64) {
-		d, err := route.ReadWeights(v)
-		if err != nil {
-			return
-		}
-		now := clock.Now()
-		t.newest = newestOf(d)
-		for _, m := range d.Models {
-			old := t.namedAt[m.Model]
-			t.namedAt[m.Model] = map[uint64]int64{}
-			for _, w := range m.Versions[max(0, len(m.Versions)-namedKept):] {
-				at, ok := old[w]
-				if !ok {
-					at = now
-				}
-				t.namedAt[m.Model][w] = at
-			}
-		}
-	})
-	t.read(ctx, WeightsDuty, &t.dutyRegister, func(_ []byte, rev uint64) {
-		if rev > 1 {
-			t.dutySince = clock.Now() - unsettledFor
-		}
-	})
-	t.read(ctx, RolloutKey, &t.rollout, func(v []byte, _ uint64) {
+	t.read(ctx, route.WeightsKey, &t.weights, t.takeWeights)
+	t.read(ctx, WeightsDuty, &t.dutyRegister, t.takeDuty)
+	t.read(ctx, RolloutKey, &t.rollout, func(v []byte, _ uint64, _ int64) {
 		if s, err := rollout.Read(v); err == nil {
 			t.state = s
 		}
 	})
 }
 
-func (t *Directory) read(ctx context.Context, key string, r *register, take func([]byte, uint64)) {
+// takeWeights takes in a new value of the register of weights, which it has had since the
+// given time at the earliest. Called under the lock.
+func (t *Directory) takeWeights(val []byte, _ uint64, since int64) {
+	doc, err := route.ReadWeights(val)
+	if err != nil {
+		return
+	}
+	t.newest = newestOf(doc)
+	for _, m := range doc.Models {
+		for _, version := range m.Versions[max(0, len(m.Versions)-namedKept):] {
+			if _, known := t.namings.At(m.Model, version); !known {
+				t.namings.Hear(m.Model, version, since)
+			}
+		}
+	}
+}
+
+// takeDuty takes in that the duty of weights changed hands. Called under the lock.
+func (t *Directory) takeDuty(_ []byte, rev uint64, since int64) {
+	if rev > 1 { // the first holder followed nobody
+		t.namings.Begin(rev, since-unsettledFor)
+	}
+}
+
+// changedSince is the earliest time at which a register can have changed that was last
+// read, unchanged, at a time: its age must not be taken for less. But who could not read
+// for long was cut off or stood still, or the core was without a majority. The bounds of
+// weights count from the end of such trouble, which was not long ago.
+func changedSince(lastRead, now int64) int64 {
+	return max(lastRead, now-unsettledFor)
+}
+
+// read reads one register, and hands a new value to take, with the earliest time at which
+// it can have come there.
+func (t *Directory) read(ctx context.Context, key string, r *register, take func(val []byte, rev uint64, since int64)) {
 	ctx, stop := context.WithTimeout(ctx, clock.Micros(700_000))
 	defer stop()
 	t.mu.Lock()
@@ -89,10 +101,14 @@
 	if a.Rev != r.rev && !fresh {
 		return // its value did not come along
 	}
+	lastRead := r.at
+	if !r.known {
+		lastRead = t.startedAt
+	}
 	r.known, r.rev, r.at = true, a.Rev, max(r.at, at)
 	if fresh {
 		r.val = a.Val
-		take(a.Val, a.Rev)
+		take(a.Val, a.Rev, changedSince(lastRead, clock.Now()))
 		t.mapRev++
 		t.notify()
 	}
--- /dev/null
+++ b/internal/app/directory/registers_test.go
@@ -0,0 +1,115 @@
+package directory
+
+import (
+	"testing"
+
+	"violetthread/internal/clock"
+	"violetthread/route"
+	"violetthread/schema/fb"
+)
+
+// name names a version of model m's weights.
+func (c *fakeControl) name(version uint64) {
+	doc := &route.WeightsDoc{}
+	if val := c.values[route.WeightsKey]; val != nil {
+		doc, _ = route.ReadWeights(val)
+	}
+	next, _ := doc.Name("m", version)
+	c.set(route.WeightsKey, next.Bytes())
+}
+
+// toldAge is how long ago a proxy is told that a version was named.
+func toldAge(t *testing.T, d *Directory, version uint64) int64 {
+	t.Helper()
+	a := d.tell(&fb.MapAskT{Node: &fb.NodeT{Name: "p"}}, clock.Now())
+	for _, n := range a.Named {
+		if n.Version == version {
+			return n.Age
+		}
+	}
+	t.Fatalf("version %d is not told", version)
+	return 0
+}
+
+// A node that hears of new weights late does not tell that they are young: they may have
+// been named right after it last looked.
+func TestLateHearerTellsNoYoungAge(t *testing.T) {
+	d, control, _ := newTestDirectory(t)
+	control.name(1)
+	lastLook := clock.Now()
+	d.Refresh(t.Context())
+	d.weights.at -= 2_000_000 // the look was two seconds ago
+	lastLook -= 2_000_000
+	control.name(2)
+	d.Refresh(t.Context())
+	if age, least := toldAge(t, d, 2), clock.Now()-lastLook-100_000; age < least {
+		t.Errorf("told an age of %d us, it may be %d", age, least)
+	}
+}
+
+// A node that just started counts from its start at the latest, and a node that was out
+// of touch for long from a short while ago: the bound begins anew after such trouble.
+func TestChangedSince(t *testing.T) {
+	const now = 100_000_000
+	for _, c := range []struct{ lastRead, want int64 }{
+		{now - 150_000, now - 150_000},
+		{now - unsettledFor + 1, now - unsettledFor + 1},
+		{now - 20_000_000, now - unsettledFor},
+	} {
+		if got := changedSince(c.lastRead, now); got != c.want {
+			t.Errorf("read at %d: %d, not %d", c.lastRead, got, c.want)
+		}
+	}
+	d, control, _ := newTestDirectory(t)
+	control.name(1)
+	d.startedAt = clock.Now() - 3_000_000
+	d.Refresh(t.Context())
+	if age := toldAge(t, d, 1); age < 3_000_000 {
+		t.Errorf("told %d us by a node that started 3 s ago", age)
+	}
+}
+
+// Ages begin anew when the duty of weights changes hands, and only then.
+func TestAgesCountFromTheDuty(t *testing.T) {
+	d, control, _ := newTestDirectory(t)
+	control.name(1)
+	control.set(WeightsDuty, nil)
+	d.Refresh(t.Context())
+	d.namings.Hear("m", 1, clock.Now()-60_000_000)
+	if age := toldAge(t, d, 1); age < 60_000_000 {
+		t.Fatalf("told %d us", age)
+	}
+	control.set(WeightsDuty, []byte("another's"))
+	d.Refresh(t.Context())
+	if age := toldAge(t, d, 1); age < unsettledFor || age > 3*unsettledFor {
+		t.Errorf("told %d us after the duty changed hands", age)
+	}
+	if got := d.tell(&fb.MapAskT{Node: &fb.NodeT{Name: "p"}}, 0).NamedEpoch; got != control.revs[WeightsDuty] {
+		t.Errorf("epoch %d is told", got)
+	}
+}
+
+// A node takes over the age that the first in line has, when its own is less.
+func TestOlderAgeOfAnotherNodeIsTaken(t *testing.T) {
+	d, control, _ := newTestDirectory(t)
+	control.name(1)
+	d.Refresh(t.Context())
+	control.first = &fb.MapTellT{Named: []*fb.NamedT{{Model: "m", Version: 1, Age: 30_000_000}}, ListAge: 1_000_000}
+	d.listFrom(t.Context(), "a:1")
+	if age := toldAge(t, d, 1); age < 30_000_000 {
+		t.Errorf("told %d us, the first in line knows 30 s", age)
+	}
+}
+
+// What the registers of weights and roll-outs were last vouched for goes with each answer.
+func TestAgeOfRegistersIsTold(t *testing.T) {
+	d, control, _ := newTestDirectory(t)
+	control.name(1)
+	d.Refresh(t.Context())
+	d.weights.at -= 5_000_000
+	control.silent = true
+	d.Refresh(t.Context())
+	if a := d.tell(&fb.MapAskT{Node: &fb.NodeT{Name: "p"}}, 0); a.NamedAge < 5_000_000 {
+		t.Errorf("an age of %d us is told of weights last vouched for 5 s ago", a.NamedAge)
+	}
+}
--- a/internal/app/proxy/follow.go
+++ b/internal/app/proxy/follow.go
@@ -8,16 +8,27 @@
 	"violetthread/hint"
 	"violetthread/internal/clock"
 	"violetthread/internal/taskgroup"
+	frames "violetthread/internal/wire"
 	"violetthread/placement"
 	"violetthread/route"
 	"violetthread/schema/fb"
 )
 
 const (
-	followHold    = 250_000 // how long a steward may hold a question
-	followPatient = 450_000 // and how long its answer may take beyond
-	staleWord     = 1_000_000
-	unusedFor     = 1_500_000 // a steward that failed is not asked first for so long
+	followHold    = 250_000   // how long a directory node may hold a question
+	followPatient = 450_000   // and how long its answer may take beyond
+	unusedFor     = 1_500_000 // a node that failed or fell behind is not asked first for so long
+
+	// A node whose word is older than this is cut off from the owner of a register, and
+	// another one is asked.
+	staleRegister = 1_000_000
+	// A node whose list of engines is older than this does not get it while others may.
+	// Without the platform all lists grow old, so that this is tried only so often.
+	staleList      = 4_000_000
+	staleListAgain = 10_000_000
+	// A map with an older list than the one in use waits for no longer than this for its
+	// node to get a newer one: the platform may be down.
+	nextMapWait = 3_000_000
 )
 
 // view is what the proxy knows of the fleet. It never changes once published.
@@ -26,24 +37,78 @@
 	rev   uint64
 	at    int64 // when the configuration was last known to be in force
 	known bool
-	named map[string][]naming // of each model, versions rising
-	peers int                 // proxies of the fleet, this one included
+	named *route.Namings
+	peers int // proxies of the fleet, this one included
+	// Which life of a node told the map in use, and when the list of engines in it was
+	// asked for.
+	mapFrom  uint64
+	listedAt int64
+	next     *nextMap
 }
 
-type naming struct {
-	version uint64
+// nextMap is a map that is not used yet, since the list in it is older than the one in use.
+type nextMap struct {
+	from    uint64
+	engines []*fb.MapEngineT
 	at      int64
 }
 
 // least is the oldest version of a model that may still be begun: one that was named
 // for too long has to be in force.
-func (v *view) least(now int64, model string, within int64) (w uint64) {
-	for _, n := range v.named[model] {
-		if now-n.at > within {
-			w = max(w, n.version)
+func (v *view) least(now int64, model string, within int64) uint64 {
+	if v.named == nil {
+		return 0
+	}
+	return v.named.Oldest(now, model, within)
+}
+
+// hear takes in what a node says of the fleet's state, which left it no sooner than at.
+// It returns the map to be used from now on, if there is another one.
+func (v *view) hear(t *fb.MapTellT, at int64) (engines []*fb.MapEngineT, use bool) {
+	// A node that is cut off has lost sight of other proxies, and does not know that they
+	// have gone: what each may spend must not grow by that.
+	if told := max(1, int(t.Proxies)); !behind(t) || told > v.peers {
+		v.peers = told
+	}
+	if t.Whole {
+		named := &route.Namings{}
+		if v.named != nil {
+			named = v.named.Clone()
+		}
+		named.Take(frames.Namings(t, at))
+		v.named = named
+		v.next = &nextMap{t.Inc, t.Engines, at}
+	}
+	return v.hearMap(t.Inc, at, t.ListAge)
+}
+
+// hearMap takes in how old the list in a node's newest map is, and returns that map if it
+// is to be used from now on: at once if its list is not older than that of the map in
+// use, else once the node has looked at the platform's list again. A node that has just
+// started and read no list knows of no engines.
+func (v *view) hearMap(from uint64, at, listAge int64) (engines []*fb.MapEngineT, use bool) {
+	if listAge >= frames.NeverRead {
+		return nil, false
+	}
+	listedAt := at - listAge
+	same := from == v.mapFrom
+	if next := v.next; next != nil && next.from == from {
+		use = same || listedAt >= v.listedAt || at-next.at > nextMapWait
+		if use {
+			engines, v.next, v.mapFrom, v.listedAt = next.engines, nil, from, listedAt
 		}
+		return engines, use
 	}
-	return w
+	v.next = nil // another node is asked now
+	if same {
+		v.listedAt = max(v.listedAt, listedAt)
+	}
+	return nil, false
+}
+
+// behind reports whether a node is out of touch with the owner of a register.
+func behind(t *fb.MapTellT) bool {
+	return t.Known && (t.Age > staleRegister || t.NamedAge > staleRegister)
 }
 
 // age is how long ago the configuration was known to be in force.
@@ -54,13 +119,14 @@
 	return now - v.at
 }
 
-// far is a steward as this proxy knows it.
+// far is a directory node as this proxy knows it.
 type far struct {
-	site  string // once it has said so
-	badAt int64
+	site        string // once it has said so
+	badAt       int64
+	staleListAt int64 // when its list of engines was seen to be old
 }
 
-// follower keeps the view fresh: it asks one steward after the other, the one in
+// follower keeps the view fresh: it asks one node after the other, the one in
 // its own site first, and goes on to the next when one fails or falls behind.
 type follower struct {
 	c         *carrier
@@ -83,7 +149,7 @@
 	}
 }
 
-// order lists the stewards to ask, the best one first.
+// order lists the nodes to ask, the best one first.
 func (f *follower) order(now int64) []string {
 	var l []string
 	for a := range f.fars {
@@ -94,6 +160,9 @@
 		if x.badAt > 0 && now-x.badAt < unusedFor {
 			n += 4
 		}
+		if x.staleListAt > 0 && now-x.staleListAt < staleListAgain {
+			n += 4
+		}
 		switch {
 		case x.site == f.c.s.Site:
 		case x.site == "":
@@ -146,10 +215,13 @@
 		f.c.d.Log.Info("steward", "steward", a, "site", t.Site)
 		f.cur = a
 	}
-	// The answer left the steward no sooner than it had held the question.
+	// The answer left the node no sooner than it had held the question.
 	f.take(t, now+t.Held)
-	if t.Known && t.Age > staleWord {
-		x.badAt = clock.Now() // it may be cut off from the configuration's owner
+	if behind(t) {
+		x.badAt = clock.Now()
+	}
+	if t.ListAge > staleList && now-x.staleListAt > staleListAgain {
+		x.staleListAt = clock.Now()
 	}
 	f.learn(t.Voters)
 	if !t.Known {
@@ -174,11 +246,11 @@
 	}
 }
 
-// take publishes what a steward told.
+// take publishes what a node told.
 func (f *follower) take(t *fb.MapTellT, at int64) {
 	c := f.c
 	v := *c.view.Load()
-	v.peers = max(1, int(t.Proxies))
+	engines, use := v.hear(t, at)
 	if t.Inc != f.inc {
 		f.inc, f.seenMap = t.Inc, 0
 	}
@@ -194,16 +266,12 @@
 		}
 	}
 	f.have = v.rev
-	if t.Whole {
-		v.named = map[string][]naming{}
-		for _, n := range t.Named {
-			v.named[n.Model] = append(v.named[n.Model], naming{n.Version, at - n.Age})
-		}
-	}
 	c.view.Store(&v)
 	if t.Whole {
 		f.seenMap = t.Map
-		c.takeMap(t.Engines, v.table)
+	}
+	if use {
+		c.takeMap(engines, v.table)
 	}
 	f.news(t)
 	others := map[uint64]placement.Load{}
--- /dev/null
+++ b/internal/app/proxy/follow_test.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"testing"
+
+	frames "violetthread/internal/wire"
+	"violetthread/schema/fb"
+)
+
+const second = 1_000_000
+
+// told is a whole answer of a node: its list of engines, by one engine's name, and when
+// weights of model m were named.
+func told(node uint64, listAge int64, engine string, namedAge int64, epoch uint64) *fb.MapTellT {
+	return &fb.MapTellT{Inc: node, Known: true, Whole: true, ListAge: listAge, Proxies: 3, NamedEpoch: epoch,
+		Engines: []*fb.MapEngineT{{Id: engine}}, Named: []*fb.NamedT{{Model: "m", Version: 2, Age: namedAge}}}
+}
+
+// Going over to a node that heard of weights late does not make older ones good again.
+func TestGoingOverKeepsAges(t *testing.T) {
+	const within = 12 * second
+	v := &view{}
+	v.hear(told(1, 0, "e", 11*second, 5), 100*second)
+	v.hear(told(2, 0, "e", 1*second, 5), 102*second)
+	if least := v.least(103*second, "m", within); least != 2 {
+		t.Errorf("version %d may still be begun 14 s after 2 was named", least)
+	}
+	before := *v
+	v.hear(told(2, 0, "e", 4*second, 6), 104*second) // the duty changed hands
+	if least := v.least(105*second, "m", within); least != 0 {
+		t.Errorf("%d must be begun though the bound counts anew", least)
+	}
+	if least := before.least(105*second, "m", within); least != 2 {
+		t.Error("a view that was published has changed")
+	}
+	v.hear(told(1, 0, "e", 90*second, 5), 106*second) // a node that has not noticed
+	if least := v.least(107*second, "m", within); least != 0 {
+		t.Errorf("%d must be begun by the word of an earlier epoch", least)
+	}
+}
+
+// An answer that stands does not bring the map again; then and later the newest list is used.
+func stands(node uint64, listAge int64) *fb.MapTellT {
+	return &fb.MapTellT{Inc: node, Known: true, ListAge: listAge, Proxies: 3}
+}
+
+// A node's older list does not take the place of a newer one: an engine that leaves
+// would come back. It is used once the node has looked again, or after a while.
+func TestOlderListWaits(t *testing.T) {
+	v := &view{}
+	use := func(what string, m *fb.MapTellT, at int64, want string) {
+		t.Helper()
+		engines, ok := v.hear(m, at)
+		if got := map[bool]string{true: ""}[!ok]; ok {
+			got = engines[0].Id
+			if got != want {
+				t.Errorf("%s: the map of %q is used, not %q", what, got, want)
+			}
+		} else if want != "" {
+			t.Errorf("%s: the map is not used", what)
+		}
+	}
+	use("the first map", told(1, second, "one", 0, 1), 100*second, "one")
+	use("its own next map", told(1, second, "one more", 0, 1), 100*second+1, "one more")
+	use("another's older list", told(2, 2*second, "two", 0, 1), 100*second+2, "")
+	use("still the older", stands(2, 2*second+200_000), 100*second+200_000, "")
+	use("it has looked again", stands(2, 100_000), 101*second, "two")
+	use("nothing new", stands(2, 200_000), 101*second+100_000, "")
+	use("a third's older list", told(3, 9*second, "three", 0, 1), 102*second, "")
+	use("the platform is down", stands(3, 13*second), 102*second+nextMapWait+1, "three")
+	use("a node that just started", told(4, frames.NeverRead, "none", 0, 1), 107*second, "")
+	use("and after a while", stands(4, frames.NeverRead), 117*second, "")
+	use("once it has looked", told(4, 0, "four", 0, 1), 118*second, "four")
+}
+
+// A node that is cut off forgets proxies that are still there: what each of them may
+// spend on further sends must not grow by that.
+func TestPeersDoNotFallWhenCutOff(t *testing.T) {
+	v := &view{}
+	all := told(1, 0, "e", 0, 1)
+	all.Proxies = 9
+	v.hear(all, 100*second)
+	cut := stands(1, 0)
+	cut.Age = 5 * second
+	v.hear(cut, 105*second)
+	if v.peers != 9 {
+		t.Errorf("%d proxies are counted by the word of a node that is cut off", v.peers)
+	}
+	v.hear(stands(1, 0), 106*second)
+	if v.peers != 3 {
+		t.Errorf("%d proxies are counted, 3 are told", v.peers)
+	}
+}
+
+func TestBehind(t *testing.T) {
+	for _, c := range []struct {
+		known         bool
+		config, named int64
+		want          bool
+	}{
+		{true, 300_000, 300_000, false}, {true, 2 * second, 0, true}, {true, 0, 2 * second, true}, {false, 0, 0, false}, {true, 0, frames.NeverRead, true},
+	} {
+		if got := behind(&fb.MapTellT{Known: c.known, Age: c.config, NamedAge: c.named}); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
--- a/schema/fb/desk_generated.go
+++ b/schema/fb/desk_generated.go
@@ -6442,26 +6442,28 @@
 }
 
 type MapTellT struct {
-	Inc       uint64        `json:"inc"`
-	Site      string        `json:"site"`
-	Held      int64         `json:"held"`
-	Known     bool          `json:"known"`
-	Rev       uint64        `json:"rev"`
-	Age       int64         `json:"age"`
-	Config    []byte        `json:"config"`
-	Map       uint64        `json:"map"`
-	Whole     bool          `json:"whole"`
-	ListAge   int64         `json:"list_age"`
-	Engines   []*MapEngineT `json:"engines"`
-	Named     []*NamedT     `json:"named"`
-	Proxies   uint32        `json:"proxies"`
-	Voters    []string      `json:"voters"`
-	NewsInc   uint64        `json:"news_inc"`
-	NewsNext  uint64        `json:"news_next"`
-	NewsReset bool          `json:"news_reset"`
-	News      []*NewsT      `json:"news"`
-	Loads     []*LoadT      `json:"loads"`
-	Complete  bool          `json:"complete"`
+	Inc        uint64        `json:"inc"`
+	Site       string        `json:"site"`
+	Held       int64         `json:"held"`
+	Known      bool          `json:"known"`
+	Rev        uint64        `json:"rev"`
+	Age        int64         `json:"age"`
+	Config     []byte        `json:"config"`
+	Map        uint64        `json:"map"`
+	Whole      bool          `json:"whole"`
+	ListAge    int64         `json:"list_age"`
+	Engines    []*MapEngineT `json:"engines"`
+	Named      []*NamedT     `json:"named"`
+	Proxies    uint32        `json:"proxies"`
+	Voters     []string      `json:"voters"`
+	NewsInc    uint64        `json:"news_inc"`
+	NewsNext   uint64        `json:"news_next"`
+	NewsReset  bool          `json:"news_reset"`
+	News       []*NewsT      `json:"news"`
+	Loads      []*LoadT      `json:"loads"`
+	Complete   bool          `json:"complete"`
+	NamedEpoch uint64        `json:"named_epoch"`
+	NamedAge   int64         `json:"named_age"`
 }
 
 func (t *MapTellT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6559,6 +6561,8 @@
 	MapTellAddNews(builder, newsOffset)
 	MapTellAddLoads(builder, loadsOffset)
 	MapTellAddComplete(builder, t.Complete)
+	MapTellAddNamedEpoch(builder, t.NamedEpoch)
+	MapTellAddNamedAge(builder, t.NamedAge)
 	return MapTellEnd(builder)
 }
 
@@ -6611,6 +6615,8 @@
 		t.Loads[j] = x.UnPack()
 	}
 	t.Complete = rcv.Complete()
+	t.NamedEpoch = rcv.NamedEpoch()
+	t.NamedAge = rcv.NamedAge()
 }
 
 func (rcv *MapTell) UnPack() *MapTellT {
@@ -6944,8 +6950,32 @@
 	return rcv._tab.MutateBoolSlot(42, n)
 }
 
+func (rcv *MapTell) NamedEpoch() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(44))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateNamedEpoch(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(44, n)
+}
+
+func (rcv *MapTell) NamedAge() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(46))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapTell) MutateNamedAge(n int64) bool {
+	return rcv._tab.MutateInt64Slot(46, n)
+}
+
 func MapTellStart(builder *flatbuffers.Builder) {
-	builder.StartObject(20)
+	builder.StartObject(22)
 }
 func MapTellAddInc(builder *flatbuffers.Builder, inc uint64) {
 	builder.PrependUint64Slot(0, inc, 0)
@@ -7025,6 +7055,12 @@
 func MapTellAddComplete(builder *flatbuffers.Builder, complete bool) {
 	builder.PrependBoolSlot(19, complete, false)
 }
+func MapTellAddNamedEpoch(builder *flatbuffers.Builder, namedEpoch uint64) {
+	builder.PrependUint64Slot(20, namedEpoch, 0)
+}
+func MapTellAddNamedAge(builder *flatbuffers.Builder, namedAge int64) {
+	builder.PrependInt64Slot(21, namedAge, 0)
+}
 func MapTellEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
