--- a/internal/app/proxy/follow.go
+++ b/internal/app/proxy/follow.go
@@ -204,7 +204,7 @@
 	if err != nil || r.MapTell == nil {
 		x.badAt = clock.Now()
 		if f.cur == a {
-			f.c.d.Log.Info("steward_lost", "steward", a)
+			f.c.d.Log.Info("directory_lost", "directory", a)
 			f.cur = ""
 		}
 		return len(l) > 1
@@ -212,7 +212,7 @@
 	t := r.MapTell
 	x.site, x.badAt = t.Site, 0
 	if f.cur != a {
-		f.c.d.Log.Info("steward", "steward", a, "site", t.Site)
+		f.c.d.Log.Info("directory", "directory", a, "site", t.Site)
 		f.cur = a
 	}
 	// The answer left the node no sooner than it had held the question.
