directory, rollout: long functions split; one reader of weights in frames; unused fields go

No change of behaviour. Step becomes endTurns, dropGone, beginTurns and dueOrders; conduct and Handle are split by step; wire.Weights is the one reader of an engine's weights in a map. Gone: Turn.Tells and Engine.At, which nothing read. rollout, directory, proxy, wire, scale and platform passed (-race).

--- a/internal/app/directory/answer.go
+++ b/internal/app/directory/answer.go
@@ -11,49 +11,70 @@
 	"violetthread/schema/fb"
 )
 
-// Handle answers proxies. Anything else is not its own.
+// Handle answers proxies and other nodes. Anything else is not its own.
 func (t *Directory) Handle(ctx context.Context, f *fb.FrameT) *fb.FrameT {
 	now := clock.Now()
-	if f.LoadTell != nil {
+	switch {
+	case f.LoadTell != nil:
 		t.hearLoads(now, f.LoadTell)
 		return nil
+	case f.MapAsk == nil:
+		return nil
+	}
+	if f.MapAsk.Node != nil {
+		t.hearProxy(now, f.MapAsk)
 	}
-	if f.MapAsk == nil {
+	if !t.awaitChange(ctx, now, f.MapAsk) {
 		return nil
 	}
-	q := f.MapAsk
-	if q.Node != nil {
-		t.control.Heard(now, q.Node)
-		t.mu.Lock()
-		x := &proxy{at: now, direct: true, loads: q.Loads}
-		if o := t.proxies[q.Node.Name]; o != nil && o.direct {
-			x.rest = o.rest
-		}
-		t.proxies[q.Node.Name] = x
-		t.mu.Unlock()
+	return &fb.FrameT{MapTell: t.tell(f.MapAsk, now)}
+}
+
+// hearProxy takes in what a proxy tells of itself as it asks.
+func (t *Directory) hearProxy(now int64, q *fb.MapAskT) {
+	t.control.Heard(now, q.Node)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := &proxy{at: now, direct: true, loads: q.Loads}
+	if known := t.proxies[q.Node.Name]; known != nil && known.direct {
+		p.rest = known.rest
 	}
-	end := now + min(max(q.Hold, 0), holdMost)
+	t.proxies[q.Node.Name] = p
+}
+
+// awaitChange holds a question that came at a time until there is something new to tell,
+// or it was held for long enough. It returns false if whoever asked is gone.
+func (t *Directory) awaitChange(ctx context.Context, asked int64, q *fb.MapAskT) bool {
+	end := asked + min(max(q.Hold, 0), holdMost)
 	for {
 		t.mu.Lock()
-		bell := t.changed
-		urgent := t.config.known && q.Have != t.config.rev || q.Inc != t.incarnation || q.NewsInc != t.incarnation || len(t.restOf(q)) > 0 ||
-			q.Map != t.mapRev && clock.Now()-now >= mapPause
+		changed, urgent := t.changed, t.hasNews(q, asked)
 		if q.Map != t.mapRev {
-			end = min(end, now+mapPause) // changes of the map come in lots
+			end = min(end, asked+mapPause) // changes of the map come in lots
 		}
 		t.mu.Unlock()
 		left := end - clock.Now()
 		if urgent || left <= 0 {
-			break
+			return true
 		}
-		w, stop := context.WithTimeout(ctx, clock.Micros(left))
-		taskgroup.Wait(w, bell)
+		wait, stop := context.WithTimeout(ctx, clock.Micros(left))
+		taskgroup.Wait(wait, changed)
 		stop()
 		if ctx.Err() != nil {
-			return nil
+			return false
 		}
 	}
-	return &fb.FrameT{MapTell: t.tell(q, now)}
+}
+
+// hasNews reports whether a question is answered at once. Called under the lock.
+func (t *Directory) hasNews(q *fb.MapAskT, asked int64) bool {
+	switch {
+	case t.config.known && q.Have != t.config.rev:
+		return true
+	case q.Inc != t.incarnation || q.NewsInc != t.incarnation || len(t.restOf(q)) > 0:
+		return true
+	}
+	return q.Map != t.mapRev && clock.Now()-asked >= mapPause
 }
 
 func (t *Directory) tell(q *fb.MapAskT, asked int64) *fb.MapTellT {
--- a/internal/app/directory/conduct.go
+++ b/internal/app/directory/conduct.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -55,45 +57,58 @@
 	if now >= lease.Until {
 		return
 	}
-	if d.conductor == nil {
-		a := t.control.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpGet), Key: RolloutKey})
-		if quorum.Status(a.Status) != quorum.Done {
-			return
-		}
-		s, err := rollout.Read(a.Val)
-		if err != nil {
-			t.log.Info("rollout_unreadable", "cause", err.Error())
-		}
-		d.conductor, d.stateRev = rollout.New(rollout.Defaults(t.settings.Bounds.VersionApplyUS, t.settings.Bounds.LeaseUS), now, d.since, s), a.Rev
+	if d.conductor == nil && !t.newConductor(ctx, now) {
+		return
 	}
 	if !t.listKnown() {
 		return // without it every engine would look gone, and who was ordered be forgotten
 	}
-	var es []rollout.Engine
-	byID := map[string]rollout.Engine{}
-	t.mu.Lock()
-	for model, version := range t.newest {
-		at, _ := t.namings.At(model, version)
-		d.conductor.Name(model, version, at)
-	}
-	for _, e := range t.listed {
-		engine := rollout.Engine{ID: e.ID, Addr: e.Addr, Pool: e.Pool, Site: e.Site, Draining: e.Draining, Weights: e.Weights, At: t.listAt}
-		es, byID[e.ID] = append(es, engine), engine
-	}
-	t.mu.Unlock()
-	orders, look, changed := d.conductor.Step(now, es)
+	engines := t.engineStates()
+	orders, inspect, changed := d.conductor.Step(now, slices.Collect(maps.Values(engines)))
 	if changed && !t.saveState(ctx, d) {
 		return
 	}
 	t.send(orders, lease.Fence)
-	for _, id := range look {
+	for _, id := range inspect {
 		if now-d.inspectedAt[id] >= inspectEvery {
 			d.inspectedAt[id] = now
-			t.group.Go("directory.inspect", func(ctx context.Context) { t.inspect(ctx, byID[id]) })
+			t.group.Go("directory.inspect", func(ctx context.Context) { t.inspect(ctx, engines[id]) })
 		}
 	}
 }
 
+// newConductor makes a conductor that goes on where the last one left off.
+func (t *Directory) newConductor(ctx context.Context, now int64) bool {
+	a := t.control.Once(ctx, &fb.OpAskT{Kind: byte(quorum.OpGet), Key: RolloutKey})
+	if quorum.Status(a.Status) != quorum.Done {
+		return false
+	}
+	state, err := rollout.Read(a.Val)
+	if err != nil {
+		t.log.Info("rollout_unreadable", "cause", err.Error())
+	}
+	figures := rollout.Defaults(t.settings.Bounds.VersionApplyUS, t.settings.Bounds.LeaseUS)
+	t.duty.conductor = rollout.New(figures, now, t.duty.since, state)
+	t.duty.stateRev = a.Rev
+	return true
+}
+
+// engineStates is what the conductor has to know of each engine by id. It is told the
+// versions that are wanted on the way.
+func (t *Directory) engineStates() map[string]rollout.Engine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for model, version := range t.newest {
+		at, _ := t.namings.At(model, version)
+		t.duty.conductor.Name(model, version, at)
+	}
+	engines := map[string]rollout.Engine{}
+	for _, e := range t.listed {
+		engines[e.ID] = rollout.Engine{ID: e.ID, Addr: e.Addr, Pool: e.Pool, Site: e.Site, Draining: e.Draining, Weights: e.Weights}
+	}
+	return engines
+}
+
 // send sends orders that were decided under the lease with this fence.
 func (t *Directory) send(orders []rollout.Order, fence uint64) {
 	for _, o := range orders {
--- a/internal/app/directory/list.go
+++ b/internal/app/directory/list.go
@@ -77,11 +77,8 @@
 		if e.Store {
 			continue
 		}
-		w := map[string]uint64{}
-		for _, x := range e.Weights {
-			w[x.Model] = x.Version
-		}
-		l = append(l, Listed{ID: e.Id, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining, Slots: int(e.Slots), Weights: w})
+		l = append(l, Listed{ID: e.Id, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining,
+			Slots: int(e.Slots), Weights: wire.Weights(e.Weights)})
 	}
 	if t.takeList(at-a.ListAge, l) {
 		t.firstInc, t.firstMap = a.Inc, a.Map
--- a/internal/app/proxy/follow.go
+++ b/internal/app/proxy/follow.go
@@ -321,10 +321,6 @@
 			ss = append(ss, placement.Store{Addr: e.Addr, Site: e.Site, Down: e.Down})
 			continue
 		}
-		w := map[string]uint64{}
-		for _, m := range e.Weights {
-			w[m.Model] = m.Version
-		}
 		keep := int64(0)
 		if tab != nil {
 			if p := tab.Pool(e.Pool); p != nil {
@@ -332,7 +328,7 @@
 			}
 		}
 		l = append(l, &placement.Engine{Keep: keep, ID: e.Id, Pool: e.Pool, Addr: e.Addr, Site: e.Site, Draining: e.Draining,
-			Turning: e.Turning, Down: e.Down, Slots: int(e.Slots), Weights: w})
+			Turning: e.Turning, Down: e.Down, Slots: int(e.Slots), Weights: frames.Weights(e.Weights)})
 	}
 	c.mu.Lock()
 	c.pick.Map(l, ss)
--- a/internal/wire/namings.go
+++ b/internal/wire/directory.go
@@ -21,3 +21,12 @@
 	}
 	return n
 }
+
+// Weights reads the version of each model that a map tells of an engine.
+func Weights(told []*fb.ModelAtT) map[string]uint64 {
+	weights := map[string]uint64{}
+	for _, m := range told {
+		weights[m.Model] = m.Version
+	}
+	return weights
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -16,7 +16,6 @@
 	ID, Addr, Pool, Site string
 	Draining             bool
 	Weights              map[string]uint64 // as last reported
-	At                   int64             // of that report
 }
 
 // Phase is how far an engine's turn has come.
@@ -28,15 +27,14 @@
 	Ordered
 )
 
-// Turn is an engine that is changing its weights. Since and Told are in the
-// conductor's own time and are not kept.
+// Turn is an engine that is changing its weights. Since, and Told, when the order last
+// went out, are in the conductor's own time and are not kept.
 type Turn struct {
 	Model   string `json:"model"`
 	Version uint64 `json:"version"`
 	Phase   Phase  `json:"phase"`
 	Since   int64  `json:"-"`
 	Told    int64  `json:"-"`
-	Tells   int    `json:"-"`
 }
 
 // State is what is kept of a roll-out in the control state, so that every node sees
@@ -119,7 +117,7 @@
 	}
 	for id, t := range c.S.Turns {
 		// If an order is out, it was another's: none of ours may follow within the lease.
-		t.Since, t.Told, t.Tells = now, now, 1
+		t.Since, t.Told = now, now
 		c.S.Turns[id] = t
 		c.aliens[id] = true
 	}
@@ -156,6 +154,15 @@
 	for _, e := range es {
 		live[e.ID] = e
 	}
+	ended := c.endTurns(now, live)
+	gone := c.dropGone(live)
+	begun := c.beginTurns(now, live)
+	orders, look, ordered := c.dueOrders(now, live)
+	return orders, look, ended || gone || begun || ordered
+}
+
+// endTurns ends the turns of engines that are gone, or that run what they were to.
+func (c *Conductor) endTurns(now int64, live map[string]Engine) (changed bool) {
 	for id, t := range c.S.Turns {
 		e, ok := live[id]
 		switch {
@@ -171,12 +178,22 @@
 			changed = true
 		}
 	}
+	return changed
+}
+
+// dropGone forgets what engines that are gone have done.
+func (c *Conductor) dropGone(live map[string]Engine) (changed bool) {
 	for id := range c.S.Done {
 		if _, ok := live[id]; !ok {
 			delete(c.S.Done, id)
 			changed = true
 		}
 	}
+	return changed
+}
+
+// beginTurns begins as many turns as are due.
+func (c *Conductor) beginTurns(now int64, live map[string]Engine) (changed bool) {
 	behind := c.behind(live)
 	lag, all, under := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, e := range live {
@@ -193,24 +210,31 @@
 		}
 	}
 	for _, b := range behind {
-		if _, is := c.S.Turns[b.ID]; is || under[b.Pool] >= c.atOnce(now, lag[b.Pool], all[b.Pool], b.model) || c.aliens[b.ID] && now < c.alien-c.F.Part {
+		_, turning := c.S.Turns[b.ID]
+		waits := c.aliens[b.ID] && now < c.alien-c.F.Part
+		if turning || waits || under[b.Pool] >= c.atOnce(now, lag[b.Pool], all[b.Pool], b.model) {
 			continue
 		}
 		c.S.Turns[b.ID] = Turn{Model: b.model, Version: c.named[b.model].version, Phase: Parting, Since: now}
 		under[b.Pool]++
 		changed = true
 	}
+	return changed
+}
+
+// dueOrders lists the orders that are due, and the engines whose order is out.
+func (c *Conductor) dueOrders(now int64, live map[string]Engine) (orders []Order, look []string, changed bool) {
 	for id, t := range c.S.Turns {
-		n := c.named[t.Model].version
+		newest := c.named[t.Model].version
 		switch {
 		case c.aliens[id] && now < c.alien:
 		case t.Phase == Parting && now-t.Since >= c.F.Part:
-			t.Phase, t.Version, t.Told, t.Tells = Ordered, max(n, t.Version), now, 1
+			t.Phase, t.Version, t.Told = Ordered, max(newest, t.Version), now
 			c.S.Turns[id] = t
 			changed = true
 			orders = append(orders, Order{id, live[id].Addr, t.Model, t.Version})
 		case t.Phase == Ordered && now-t.Told >= c.F.Again:
-			t.Told, t.Tells = now, t.Tells+1
+			t.Told = now
 			c.S.Turns[id] = t
 			orders = append(orders, Order{id, live[id].Addr, t.Model, t.Version})
 		}
