--- a/sim/config_history.go
+++ b/sim/config_history.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"strconv"
+	"strings"
 
 	"violetthread/route"
 )
@@ -42,6 +44,9 @@
 	Again  int    // orders acknowledged after a resend
 	Stale  int    // refusals of orders
 	Reads  int
+	// Behind is the most changes that were in force after an order when it was
+	// acknowledged for the first time.
+	Behind uint64
 }
 
 // orderedDoc is a configuration as its orders make it.
@@ -74,6 +79,9 @@
 		if resent {
 			h.Again++
 		}
+		if h.newest > o.version {
+			h.Behind = max(h.Behind, h.newest-o.version)
+		}
 	}
 	h.link(o)
 	h.seen(o.version)
@@ -115,9 +123,27 @@
 	h.Reads++
 	h.reads = append(h.reads, configRead{interval{from, h.w.now}, d.Version})
 	h.seen(d.Version)
+	if o := h.orderOf(d); o != nil {
+		h.link(o)
+	}
 	h.compare(d, value)
 }
 
+// orderOf is the order that made a configuration: each brings a key of its own.
+func (h *ConfigHistory) orderOf(d *route.Document) *Order {
+	_, rest, found := strings.Cut(string(d.Text), keyPrefix)
+	if !found {
+		return nil
+	}
+	number, _, _ := strings.Cut(rest, `"`)
+	id, err := strconv.Atoi(number)
+	if err != nil || id < 1 || id > len(h.orders) || h.orders[id-1].version != d.Version {
+		h.w.Wrong("an order that nobody sent", "version %d holds the key of %q", d.Version, number)
+		return nil
+	}
+	return h.orders[id-1]
+}
+
 // readConfig reads a register's value; an empty one is no configuration yet.
 func readConfig(value []byte) (*route.Document, error) {
 	if len(value) == 0 {
--- a/sim/config_operator.go
+++ b/sim/config_operator.go
@@ -26,8 +26,8 @@
 	Pause int64
 	// Routes is how many routes the n-th of its orders brings, 0 for a small merge.
 	Routes func(n int) int
-	// LosesAnswer tells whether the k-th answer to its order gets lost.
-	LosesAnswer func(o *Order, k int) bool
+	// LosesReplies makes it miss all answers.
+	LosesReplies bool
 	// OnTaken is called at each acknowledgement that it hears.
 	OnTaken func(o *Order)
 	// OnClear is called at each acknowledgement or refusal that it hears.
@@ -84,8 +84,11 @@
 	return fmt.Sprintf(`{"name":%q,"host":"calls.example","path-prefix":%q,"route-type":"idempotent","timeout-ms":2000,"target-latency-ms":600,"priority":1,"max-attempts":2,"traffic-split":[{"service":"engines","weight":3},{"service":"others","weight":1}]}`, name, prefix)
 }
 
+// keyPrefix begins the key that an order brings.
+const keyPrefix = "key-of-order-"
+
 func tenantText(order *Order) string {
-	return fmt.Sprintf(`{"name":"desk","api-keys":["key-%d"]}`, order.id)
+	return fmt.Sprintf(`{"name":"desk","api-keys":["%s%d"]}`, keyPrefix, order.id)
 }
 
 func wholeText(order *Order, routes int) string {
@@ -106,15 +109,18 @@
 // send sends the order as it stands to a node.
 func (o *ConfigOperator) send() {
 	o.sends++
-	order, k, from := o.order, o.sends, o.core.w.now
+	order, from := o.order, o.core.w.now
 	node := o.pick()
 	o.last = node
 	Call(o.Host, node.Host, order, operatorSilence,
 		func(order *Order, answer func(Reply)) {
+			if o.core.lost(StepOrder) {
+				return
+			}
 			node.Edit(route.ConfigKey, changeConfiguration(order.change, o.history.texts), answer)
 		},
 		func(r Reply) {
-			if o.LosesAnswer != nil && o.LosesAnswer(order, k) {
+			if o.LosesReplies || o.core.lost(StepReply) {
 				o.After(max(1, from+operatorSilence-o.core.w.now), o.resend)
 				return
 			}
--- a/sim/core.go
+++ b/sim/core.go
@@ -12,22 +12,28 @@
 
 // Core is the control nodes of a world.
 type Core struct {
-	w        *World
-	ro       quorum.Roster
-	Nodes    []*Registrar
-	rings    wal.Plan
-	era      int64                 // how long an era of claims is the newest
-	term     int64                 // of a slot owner's lease, 0 for the default
-	onNew    func(*Registrar)      // what a fleet adds to a machine
-	onBoot   func(*Registrar)      // what else runs on a machine, at each start
-	drop     func(quorum.Msg) bool // messages that get lost, for directed days
-	stepping bool                  // an operator is changing the roster
-	Steps    int                   // how often that was done
-	armed    bool                  // power goes at the next acknowledgement
-	heals    bool                  // registrars let each other in, without an operator
-	incs     uint64                // drawn so far, beside the first ones
-	Joined   int                   // how often a machine was let in
-	Slowest  int64                 // from its start until all slots were firm with it
+	w      *World
+	ro     quorum.Roster
+	Nodes  []*Registrar
+	rings  wal.Plan
+	era    int64                 // how long an era of claims is the newest
+	term   int64                 // of a slot owner's lease, 0 for the default
+	onNew  func(*Registrar)      // what a fleet adds to a machine
+	onBoot func(*Registrar)      // what else runs on a machine, at each start
+	drop   func(quorum.Msg) bool // messages that get lost, for directed days
+	// answering is asked before a node tells of an operation's end, and whether its
+	// process dies of it; synced likewise, when records are on its disk and before its
+	// voter hears of that. Both are for directed days.
+	answering func(*Registrar, quorum.Answer) bool
+	synced    func(*Registrar) bool
+	loses     func(OrderStep) bool // steps of orders that get lost, for directed days
+	stepping  bool                 // an operator is changing the roster
+	Steps     int                  // how often that was done
+	armed     bool                 // power goes at the next acknowledgement
+	heals     bool                 // registrars let each other in, without an operator
+	incs      uint64               // drawn so far, beside the first ones
+	Joined    int                  // how often a machine was let in
+	Slowest   int64                // from its start until all slots were firm with it
 }
 
 // Registrar is a control node: the real voter on a real ring on a simulated disk.
@@ -295,10 +301,15 @@
 		}
 	}
 	for _, a := range o.Answers {
-		if f := r.waiting[a.ID]; f != nil {
-			delete(r.waiting, a.ID)
-			f(a)
+		f := r.waiting[a.ID]
+		if f == nil {
+			continue
+		}
+		delete(r.waiting, a.ID)
+		if r.core.answering != nil && r.core.answering(r, a) {
+			return
 		}
+		f(a)
 	}
 	if o.Roster != nil && r.core.heals && !r.holds(*o.Roster) {
 		r.retire()
@@ -334,6 +345,9 @@
 			r.die(err)
 			return
 		}
+		if r.core.synced != nil && r.core.synced(r) {
+			return
+		}
 		r.out(r.node.Synced(r.Clock(), n))
 		if r.Dead == nil && r.issued > n {
 			r.sync()
--- /dev/null
+++ b/sim/day_races.go
@@ -0,0 +1,213 @@
+package sim
+
+import (
+	"violetthread/quorum"
+	"violetthread/route"
+)
+
+const (
+	raceLasts = 10_000_000
+	// raceEnds is within how long after the trouble the newest configuration is read
+	// back and all operators have a clear answer.
+	raceEnds = 8_000_000
+	// lossPercent of a step's messages get lost.
+	lossPercent = 25
+	// killPercent of the acknowledgements and syncs that may kill do, while all are up.
+	killPercent = 12
+)
+
+// RaceTrouble is what troubles operators that race.
+type RaceTrouble string
+
+// Kills of the owner at the moments between a sync and its answer; losses are named by
+// their steps.
+const (
+	KillSynced    RaceTrouble = "killed after its sync"       // before its voter hears of it
+	KillAnswering RaceTrouble = "killed before its answer"    // once a majority has it
+	PowerAnswered RaceTrouble = "all lose power at an answer" // just after it
+)
+
+// RaceTroubles lists the kills and the steps.
+func RaceTroubles() []RaceTrouble {
+	out := []RaceTrouble{KillSynced, KillAnswering, PowerAnswered}
+	for _, s := range OrderSteps {
+		out = append(out, RaceTrouble(s))
+	}
+	return out
+}
+
+// RaceDay is a day on which operators send changes under the same numbers at once.
+type RaceDay struct {
+	*ConfigWorld
+	trouble RaceTrouble
+	until   int64
+	result  RaceResult
+}
+
+// RaceResult is what such a day came to.
+type RaceResult struct {
+	Orders, Acks, Again, Stale, Reads int
+	Lost, Kills                       int // messages, processes
+	// Behind is the most changes that were in force after an order when it was
+	// acknowledged for the first time.
+	Behind uint64
+	// Slowest is the longest that an operator went without a clear answer.
+	Slowest int64
+	// Ended is how long after the trouble all was clear.
+	Ended int64
+	Wrong []string
+	Notes []string
+}
+
+// RunRaces runs a day of so many operators.
+func RunRaces(seed int64, nodes, operators int, trouble RaceTrouble, texts Texts) RaceResult {
+	d := &RaceDay{ConfigWorld: NewConfigWorld(seed, nodes, texts), trouble: trouble}
+	d.AddOperators(operators)
+	d.AddReaders(2, 150_000)
+	for _, o := range d.Operators {
+		o.Pause = 60_000
+		o.OnTaken = d.onTaken
+	}
+	d.Start()
+	w := d.World
+	if _, ok := d.Until(5_000_000, func() bool { return d.Config.Acks > 2 }); !ok {
+		w.Wrong("not begun", "no configuration was acknowledged after %d us", w.now)
+	}
+	d.begin()
+	w.Run(d.until)
+	d.finish()
+	d.Config.Close()
+	d.collect()
+	return d.result
+}
+
+// begin brings the trouble about until its time is over.
+func (d *RaceDay) begin() {
+	c := d.Core
+	d.until = d.World.now + raceLasts
+	switch d.trouble {
+	case KillSynced:
+		c.synced = d.killsSynced
+	case KillAnswering:
+		c.answering = d.killsAnswering
+	case PowerAnswered:
+		// By onTaken, at the very acknowledgement.
+	case RaceTrouble(StepWrite), RaceTrouble(StepWriteOK):
+		c.drop = d.dropsMessage
+	default:
+		c.loses = d.losesStep
+	}
+}
+
+// finish ends the trouble and waits until every operator had a clear answer and the
+// newest configuration was read back.
+func (d *RaceDay) finish() {
+	c, w := d.Core, d.World
+	c.synced, c.answering, c.drop, c.loses = nil, nil, nil, nil
+	told := map[*ConfigOperator]bool{}
+	for _, o := range d.Operators {
+		o.OnClear = func() { told[o] = true }
+	}
+	took, ok := d.Until(raceEnds, func() bool { return len(told) == len(d.Operators) })
+	d.result.Ended = took
+	if !ok {
+		w.Wrong("not back", "%d of %d operators had a clear answer %d us after the trouble", len(told), len(d.Operators), took)
+	}
+	reads := d.Config.Reads
+	if _, ok := d.Until(raceEnds, func() bool { return d.Config.Reads > reads+4 }); !ok {
+		w.Wrong("not back", "nothing was read back %d us after the trouble", raceEnds)
+	}
+}
+
+func (d *RaceDay) collect() {
+	r, h := &d.result, d.Config
+	r.Orders, r.Acks, r.Again, r.Stale, r.Reads = len(h.orders), h.Acks, h.Again, h.Stale, h.Reads
+	r.Behind = h.Behind
+	for _, o := range d.Operators {
+		r.Slowest = max(r.Slowest, o.SlowestTaken)
+	}
+	r.Wrong, r.Notes = d.World.wrong, d.World.note
+}
+
+// losesStep loses some messages of one step.
+func (d *RaceDay) losesStep(s OrderStep) bool {
+	if RaceTrouble(s) != d.trouble {
+		return false
+	}
+	return d.losesOne()
+}
+
+func (d *RaceDay) losesOne() bool {
+	if d.World.Rng.Intn(100) >= lossPercent {
+		return false
+	}
+	d.result.Lost++
+	return true
+}
+
+// dropsMessage loses some of the messages between owner and voters, of the
+// configuration's slot.
+func (d *RaceDay) dropsMessage(m quorum.Msg) bool {
+	kind := quorum.Write
+	if d.trouble == RaceTrouble(StepWriteOK) {
+		kind = quorum.WriteOK
+	}
+	return m.Kind == kind && m.Slot == slotOf(route.ConfigKey) && d.losesOne()
+}
+
+// killsSynced kills the configuration's owner when its records are on disk and its voter
+// does not know yet.
+func (d *RaceDay) killsSynced(r *Registrar) bool {
+	if d.Core.Owner(route.ConfigKey) != r {
+		return false
+	}
+	return d.kills(r)
+}
+
+// killsAnswering kills the owner when a change is on a majority's disks and nobody was
+// told.
+func (d *RaceDay) killsAnswering(r *Registrar, a quorum.Answer) bool {
+	if a.Status != quorum.Done || d.Core.Owner(route.ConfigKey) != r {
+		return false
+	}
+	return d.kills(r)
+}
+
+// kills ends a process now and then, while all others are up, and starts it again.
+func (d *RaceDay) kills(r *Registrar) bool {
+	w := d.World
+	if !d.allUp() || w.Rng.Intn(100) >= killPercent {
+		return false
+	}
+	d.result.Kills++
+	if w.Rng.Intn(2) == 0 {
+		r.PowerLoss()
+	} else {
+		r.Kill()
+	}
+	w.At(w.now+100_000+w.Rng.Int63n(2_000_000), r.restart)
+	return true
+}
+
+// allUp reports whether all control nodes take part.
+func (d *RaceDay) allUp() bool {
+	for _, r := range d.Core.Nodes {
+		if !r.up || r.node == nil || !r.node.Firm() {
+			return false
+		}
+	}
+	return true
+}
+
+// onTaken cuts the power of all control nodes at some acknowledgements.
+func (d *RaceDay) onTaken(*Order) {
+	w := d.World
+	if d.trouble != PowerAnswered || w.now >= d.until || !d.allUp() || w.Rng.Intn(100) >= killPercent {
+		return
+	}
+	d.result.Kills++
+	for _, r := range d.Core.Nodes {
+		r.PowerLoss()
+		w.At(w.now+50_000+w.Rng.Int63n(500_000), r.restart)
+	}
+}
--- /dev/null
+++ b/sim/day_races_test.go
@@ -0,0 +1,48 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestRaceDays: two and eight operators send different changes under the same numbers,
+// while the messages of one step of their way get lost, or owners are killed between a
+// sync and the answer. Never are two confirmed under one number, what was taken is never
+// refused, and what is read back is the newest acknowledged, to the byte.
+func TestRaceDays(t *testing.T) {
+	for i, trouble := range RaceTroubles() {
+		t.Run(string(trouble), func(t *testing.T) {
+			t.Parallel()
+			var sum RaceResult
+			for _, seed := range daySeeds(1) {
+				for j, nodes := range controlSizes {
+					if seeds() == 0 && (i+j)%len(controlSizes) != 0 {
+						continue // CI takes each trouble at one size
+					}
+					operators := []int{2, 8}[(int(seed)+i+j)%2]
+					r := RunRaces(seed, nodes, operators, trouble, platformTexts)
+					failDay(t, seed, r.Wrong, append(r.Notes, fmt.Sprintf("%d nodes, %d operators", nodes, operators)))
+					sum.add(r)
+				}
+			}
+			t.Logf("%d orders: %d taken, %d after a resend, %d refused, %d read back; %d messages lost, %d kills; %d changes behind at most, a clear answer after %s, all clear after %s of %s",
+				sum.Orders, sum.Acks, sum.Again, sum.Stale, sum.Reads, sum.Lost, sum.Kills, sum.Behind, seconds(sum.Slowest), seconds(sum.Ended), seconds(raceEnds))
+			if sum.Acks < 20 || sum.Stale == 0 || sum.Lost+sum.Kills < 3 || sum.Reads < 40 {
+				t.Error("too little to prove anything")
+			}
+		})
+	}
+}
+
+func (r *RaceResult) add(o RaceResult) {
+	r.Orders += o.Orders
+	r.Acks += o.Acks
+	r.Again += o.Again
+	r.Stale += o.Stale
+	r.Reads += o.Reads
+	r.Lost += o.Lost
+	r.Kills += o.Kills
+	r.Behind = max(r.Behind, o.Behind)
+	r.Slowest = max(r.Slowest, o.Slowest)
+	r.Ended = max(r.Ended, o.Ended)
+}
--- a/sim/register_edit.go
+++ b/sim/register_edit.go
@@ -73,9 +73,18 @@
 	if op.Kind == quorum.OpGet {
 		limit = passReadLimit
 	}
+	ask, tell := stepsOf(op.Kind)
 	Call(r.Host, to.Host, op, limit,
-		func(q quorum.Op, answer func(quorum.Answer)) { to.once(q, hops+1, to.Clock()+limit, answer) },
-		end,
+		func(q quorum.Op, answer func(quorum.Answer)) {
+			if !r.core.lost(ask) {
+				to.once(q, hops+1, to.Clock()+limit, answer)
+			}
+		},
+		func(a quorum.Answer) {
+			if !r.core.lost(tell) {
+				end(a)
+			}
+		},
 		func() { end(quorum.Answer{Status: quorum.Unknown}) })
 }
 
@@ -219,3 +228,32 @@
 	Translate func([]byte) (route.Config, []route.Finding)
 	Words     route.Words
 }
+
+// OrderStep is a step on an order's way from its operator to the disks and back.
+type OrderStep string
+
+// The steps of an order, each of which may get lost.
+const (
+	StepOrder    OrderStep = "order"     // operator to node
+	StepReadAsk  OrderStep = "read-ask"  // node to the register's owner
+	StepReadTell OrderStep = "read-tell" // and back
+	StepPutAsk   OrderStep = "put-ask"   // node to the register's owner
+	StepWrite    OrderStep = "write"     // owner to the voters
+	StepWriteOK  OrderStep = "write-ok"  // and back
+	StepPutTell  OrderStep = "put-tell"  // owner to the node
+	StepReply    OrderStep = "reply"     // node to operator
+)
+
+// OrderSteps lists them in order.
+var OrderSteps = []OrderStep{StepOrder, StepReadAsk, StepReadTell, StepPutAsk, StepWrite, StepWriteOK, StepPutTell, StepReply}
+
+// stepsOf are the steps of an operation that is passed to its owner.
+func stepsOf(k quorum.OpKind) (ask, tell OrderStep) {
+	if k == quorum.OpGet {
+		return StepReadAsk, StepReadTell
+	}
+	return StepPutAsk, StepPutTell
+}
+
+// lost tells whether a step gets lost.
+func (c *Core) lost(s OrderStep) bool { return c.loses != nil && c.loses(s) }
