wal: a ring is read anew after a failure, and refuses cut, misplaced or newer files

Cause: after a failed write or sync a process had to end, and the next one took what a cache showed for synced: its sync covered only the bytes it wrote itself, so a confirmed record could be gone after a power loss.

Change: Reopen reads the ring anew and demands all that was synced; Open and Reopen write and sync the file being written once more, so that whatever they return lasts. Sizes are compared before anything is made or extended, headers of other formats and records behind a damaged header are refused. Errors are typed (ErrDisk passes; ErrCorrupt, ErrFormat and ErrSizes do not) and name the remedy.

Ruled out: writing the unsynced tail again from memory (works, but the same reading is needed after a restart anyway); treating a short file as one being made (only while no file is in use).

--- /dev/null
+++ b/internal/wire/record_test.go
@@ -0,0 +1,67 @@
+package wire
+
+import (
+	"math/rand"
+	"testing"
+
+	"violetthread/quorum"
+	"violetthread/schema/fb"
+)
+
+// diskRecords is one record of each kind, as a disk holds them.
+func diskRecords() [][]byte {
+	roster := quorum.Roster{Rev: quorum.Found(5), Voters: []quorum.Voter{{Name: "a", Addr: "10.0.0.1:1", Inc: 3, Num: 1}}}
+	entry := quorum.Entry{Key: "plan", Ver: quorum.Ver{Epoch: 3, Seq: 9}, Rev: 4, Val: []byte("{}")}
+	return [][]byte{
+		Rec(quorum.Rec{Kind: quorum.RecPromise, Slot: 1, Epoch: 65537}),
+		Rec(quorum.Rec{Kind: quorum.RecEntry, Slot: 2, Epoch: 3, Mark: quorum.Ver{Epoch: 3, Seq: 9}, Settled: quorum.Ver{Epoch: 3, Seq: 8}, Entry: entry}),
+		Rec(quorum.Rec{Kind: quorum.RecDrop, Slot: 2, Entry: quorum.Entry{Key: "gone"}}),
+		Rec(quorum.Rec{Kind: quorum.RecJoin, Slot: 2, Epoch: 4, Mark: quorum.Ver{Epoch: 4}}),
+		Rec(quorum.Rec{Kind: quorum.RecRoster, Roster: &roster}),
+		Founding(Roster(roster, 3)),
+		Founding(&fb.FoundingT{Inc: 8}),
+	}
+}
+
+// readRecord takes a record of any content in, and a founding's roster with it.
+func readRecord(b []byte) error {
+	rec, founding, err := Unrec(b)
+	if err != nil {
+		return err
+	}
+	if founding != nil {
+		_ = Unroster(founding)
+		_ = Founding(founding)
+		return nil
+	}
+	_ = Rec(rec)
+	return nil
+}
+
+// TestDamagedRecords: records that were cut at any byte or have any byte changed end in
+// a record or an error, never in a panic; cut ones mostly in an error.
+func TestDamagedRecords(t *testing.T) {
+	rng := rand.New(rand.NewSource(5))
+	for i, whole := range diskRecords() {
+		if err := readRecord(whole); err != nil {
+			t.Fatalf("record %d: %v", i, err)
+		}
+		for n := range whole {
+			cut := append([]byte(nil), whole[:n]...)
+			_ = readRecord(cut)
+			if err := readRecord(cut); n < 4 && err == nil {
+				t.Fatalf("record %d cut to %d bytes was read", i, n)
+			}
+			flipped := append([]byte(nil), whole...)
+			flipped[n] ^= byte(1 + rng.Intn(255))
+			_ = readRecord(flipped)
+		}
+	}
+}
+
+func FuzzUnrec(f *testing.F) {
+	for _, b := range diskRecords() {
+		f.Add(b)
+	}
+	f.Fuzz(func(_ *testing.T, b []byte) { _ = readRecord(b) })
+}
--- a/sim/world.go
+++ b/sim/world.go
@@ -319,6 +319,14 @@
 
 var errDisk = errors.New("simulated disk problem")
 
+// Size implements wal.FS.
+func (d *Disk) Size(name string) (int64, error) {
+	if f := d.files[name]; f != nil {
+		return int64(len(f.durable)), nil
+	}
+	return 0, nil
+}
+
 // Open implements wal.FS.
 func (d *Disk) Open(name string, size int64) (wal.File, error) {
 	f := d.files[name]
--- a/wal/osdisk/fs.go
+++ b/wal/osdisk/fs.go
@@ -1,4 +1,4 @@
-// Package osdisk is the folder of an operating system as a depository's port.
+// Package osdisk is the folder of an operating system as a log's port.
 package osdisk
 
 import (
@@ -15,6 +15,18 @@
 // Folder keeps ring files under Dir.
 type Folder struct{ Dir string }
 
+// Size returns the bytes of a file, 0 if it is missing.
+func (f Folder) Size(name string) (int64, error) {
+	info, err := os.Stat(filepath.Join(f.Dir, name))
+	if os.IsNotExist(err) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
 // Open makes, fills and syncs a missing file, and its folder's entry with it. The
 // folder is synced for a file that is there already as well: who made it may have
 // been cut off before it got that far.
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -154,7 +154,7 @@
 	for ; err == nil; n++ {
 		err = r.Append(make([]byte, 500))
 	}
-	if !errors.Is(err, wal.ErrFull) || n < 15 {
+	if !errors.Is(err, wal.ErrRingFull) || n < 15 {
 		t.Fatalf("after %d: %v", n, err)
 	}
 	if err := r.Checkpoint([][]byte{[]byte("all")}); err != nil {
@@ -177,14 +177,14 @@
 	r, _ := open(t, d, plan)
 	_ = r.Append([]byte("a"))
 	d.Fail = true
-	if err := r.Sync(); !errors.Is(err, wal.ErrDead) {
+	if err := r.Sync(); !errors.Is(err, wal.ErrDisk) {
 		t.Fatalf("failed sync: %v", err)
 	}
 	d.Fail = false
-	if err := r.Append([]byte("b")); !errors.Is(err, wal.ErrDead) {
+	if err := r.Append([]byte("b")); !errors.Is(err, wal.ErrDisk) {
 		t.Fatalf("append after a failed sync: %v", err)
 	}
-	if err := r.Sync(); !errors.Is(err, wal.ErrDead) {
+	if err := r.Sync(); !errors.Is(err, wal.ErrDisk) {
 		t.Fatalf("sync after a failed sync: %v", err)
 	}
 }
@@ -228,7 +228,7 @@
 			_, _ = g.WriteAt(b[:min(len(b), int(plan.Size))], 0)
 		}
 		if r, _, err := wal.Open(d, plan); err == nil {
-			if err := r.Append([]byte("x")); err != nil && !errors.Is(err, wal.ErrFull) {
+			if err := r.Append([]byte("x")); err != nil && !errors.Is(err, wal.ErrRingFull) {
 				t.Fatal(err)
 			}
 		}
