proxy: one file, one job in place of pass.go; no change of behaviour

pass.go held admission, the ledger's moves, attempts at engines, the engine's message, the answer's head, relaying and event framing in 635 lines. Each is a file now, functions are short, and the names are the field's: passage, engineAttempt, engineConn, callerConn, deadline, outcome. Dead state is gone (closed and under were set and never read). The type carrier keeps its name until follow.go can change with it.

--- /dev/null
+++ b/internal/app/proxy/answer.go
@@ -0,0 +1,83 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+
+	"violetthread/attempt"
+)
+
+const (
+	strayAnswers     = 2        // answers to former requests that are read away before the right one
+	strayAnswerBytes = 1 << 20  // how long such an answer may be
+	skipBodyBytes    = 64 << 10 // how long the body of a refusal may be
+)
+
+// readHead reads the head of the answer to this very attempt. An answer to a former one
+// may come in its place, on a connection that was used before. Without an answer the
+// outcome says why.
+func (a *engineAttempt) readHead() (*http.Response, Word, outcome) {
+	for stray := 0; ; {
+		answer, err := http.ReadResponse(a.conn.br, a.p.r)
+		if err != nil {
+			return nil, Word{}, a.broken(reasonEngineLost)
+		}
+		if answer.StatusCode < http.StatusOK {
+			continue // an interim answer
+		}
+		word := a.p.c.door.Word(answer.StatusCode, answer.Header)
+		if a.answersThis(word, stray) {
+			return answer, word, outcome{}
+		}
+		if a.conn.used == 0 || word.Attempt == "" || stray == strayAnswers || answer.Close {
+			return nil, Word{}, a.broken(reasonEngineMalformed)
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, strayAnswerBytes)); err != nil {
+			return nil, Word{}, a.broken(reasonEngineMalformed)
+		}
+		stray++
+	}
+}
+
+// answersThis reports whether an answer belongs to this attempt. One without a name is
+// trusted only on a connection that carried nothing before.
+func (a *engineAttempt) answersThis(word Word, stray int) bool {
+	if word.Attempt == "" {
+		return word.Skipped && stray == 0 && a.conn.used == 0
+	}
+	return word.Attempt == a.p.ask.Attempt
+}
+
+// skipped deals with an engine's word that it did not run the request.
+func (a *engineAttempt) skipped(answer *http.Response) (outcome, *http.Response) {
+	end := outcome{attempt.NeverBegan, causeSkipped}
+	if answer.StatusCode == http.StatusMisdirectedRequest {
+		end.cause = causeOther
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, skipBodyBytes)); err != nil {
+		return end, nil
+	}
+	return end, answer
+}
+
+// promises are the statuses by which a caller is told that its request never ran.
+var promises = map[int]bool{
+	http.StatusRequestTimeout:     true,
+	http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests:    true,
+	http.StatusServiceUnavailable: true,
+}
+
+// unfit says why an answer may not reach the caller; it is empty if it may.
+func unfit(answer *http.Response, word Word) string {
+	switch {
+	case answer.StatusCode < 300 && (!word.Sealed || answer.Header.Get("Content-Encoding") != ""):
+		// A success without the engine's own mark, or in an encoding nobody asked for.
+		return reasonEngineMalformed
+	case promises[answer.StatusCode]:
+		// Passed on it would promise that the request never ran, which only the mark of
+		// a skipped one tells.
+		return reasonEngineFailed
+	}
+	return ""
+}
--- a/internal/app/proxy/raw.go
+++ b/internal/app/proxy/callerconn.go
@@ -11,8 +11,8 @@
 // length beside chunks, joins folded lines. What lies between callers and engines must
 // not, so the bytes of each head are looked at as they came (RFC 9112 §6.3, §11.2).
 
-// raw keeps the head of the request under way on a caller's connection.
-type raw struct {
+// callerConn keeps the head of the request under way on a caller's connection.
+type callerConn struct {
 	net.Conn
 	mu   sync.Mutex
 	head []byte
@@ -21,29 +21,29 @@
 
 const headMost = 1 << 20
 
-type rawKey struct{}
+type callerConnKey struct{}
 
-type rawListener struct{ net.Listener }
+type callerListener struct{ net.Listener }
 
-func (l rawListener) Accept() (net.Conn, error) {
+func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &raw{Conn: c}, nil
+	return &callerConn{Conn: c}, nil
 }
 
-func withRaw(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, rawKey{}, c)
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
-func rawOf(ctx context.Context) *raw {
-	r, _ := ctx.Value(rawKey{}).(*raw)
+func callerConnOf(ctx context.Context) *callerConn {
+	r, _ := ctx.Value(callerConnKey{}).(*callerConn)
 	return r
 }
 
 // Read passes bytes on and keeps those of the head.
-func (r *raw) Read(b []byte) (int, error) {
+func (r *callerConn) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	if n > 0 {
 		r.mu.Lock()
@@ -62,7 +62,7 @@
 }
 
 // next forgets the head: the next bytes begin another request.
-func (r *raw) next() {
+func (r *callerConn) next() {
 	if r == nil {
 		return
 	}
@@ -71,9 +71,9 @@
 	r.mu.Unlock()
 }
 
-// sound reports whether the head leaves no doubt about where its request ends. A
+// unambiguous reports whether the head leaves no doubt about where its request ends. A
 // request that came together with the one before has no head here, and is in doubt.
-func (r *raw) sound() bool {
+func (r *callerConn) unambiguous() bool {
 	if r == nil {
 		return true
 	}
--- a/internal/app/proxy/pool.go
+++ b/internal/app/proxy/connpool.go
@@ -20,13 +20,13 @@
 // is used again only if its last answer was whole and nothing lies on it unasked.
 type pool struct {
 	mu    sync.Mutex
-	idle  map[string][]*wire // by engine's life
+	idle  map[string][]*engineConn // by engine's life
 	Dials uint64
 	Again uint64
 }
 
-// wire is a connection to one engine.
-type wire struct {
+// engineConn is a connection to one engine.
+type engineConn struct {
 	net.Conn
 	br    *bufio.Reader
 	used  int
@@ -39,10 +39,10 @@
 	dialMost = 350_000
 )
 
-func newPool() *pool { return &pool{idle: map[string][]*wire{}} }
+func newPool() *pool { return &pool{idle: map[string][]*engineConn{}} }
 
 // get is an idle connection to an engine's life, or none.
-func (p *pool) get(id string) *wire {
+func (p *pool) get(id string) *engineConn {
 	for {
 		p.mu.Lock()
 		l := p.idle[id]
@@ -64,7 +64,7 @@
 }
 
 // quiet reports whether the far end has neither closed nor said anything.
-func (w *wire) quiet() bool {
+func (w *engineConn) quiet() bool {
 	if w.br.Buffered() > 0 {
 		return false
 	}
@@ -87,7 +87,7 @@
 }
 
 // dial makes a new connection. A far end that falls silent is noticed by the kernel.
-func (p *pool) dial(ctx context.Context, addr string) (*wire, error) {
+func (p *pool) dial(ctx context.Context, addr string) (*engineConn, error) {
 	d := net.Dialer{Timeout: clock.Micros(dialMost), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clock.Micros(1_000_000), Interval: clock.Micros(1_000_000), Count: 2},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			return c.Control(func(fd uintptr) {
@@ -101,11 +101,11 @@
 	p.mu.Lock()
 	p.Dials++
 	p.mu.Unlock()
-	return &wire{Conn: c, br: bufio.NewReaderSize(c, 8<<10)}, nil
+	return &engineConn{Conn: c, br: bufio.NewReaderSize(c, 8<<10)}, nil
 }
 
 // put gives a connection back after a whole answer.
-func (p *pool) put(id string, w *wire, h http.Header) {
+func (p *pool) put(id string, w *engineConn, h http.Header) {
 	keep := keepAlive(h)
 	if w.br.Buffered() > 0 || keep <= 0 {
 		w.kill()
@@ -137,7 +137,7 @@
 }
 
 // kill drops a connection at once: what is still on its way is not sent any more.
-func (w *wire) kill() {
+func (w *engineConn) kill() {
 	if t, ok := w.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
--- /dev/null
+++ b/internal/app/proxy/engineattempt.go
@@ -0,0 +1,127 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"violetthread/attempt"
+	"violetthread/internal/clock"
+	"violetthread/placement"
+)
+
+// engineAttempt is one attempt of a request at one engine.
+type engineAttempt struct {
+	p      *passage
+	choice *placement.Choice
+	id     string // in the ledger
+	began  bool   // the engine has answered with content
+	conn   *engineConn
+}
+
+// outcome is how an attempt ended.
+type outcome struct {
+	state attempt.State
+	cause string
+}
+
+// Causes of attempts that never began, beside attempt.Unreachable.
+const (
+	causeSkipped = "skipped" // the engine says that it did not run it
+	causeOther   = "other"   // the address is another engine's, or it has other weights
+)
+
+var (
+	finished    = outcome{state: attempt.Finished}
+	unreachable = outcome{attempt.NeverBegan, attempt.Unreachable}
+)
+
+// lateAnswerUS is how much later than the caller's deadline an engine may answer.
+const lateAnswerUS = 120_000
+
+// run sends the request and relays the answer as far as it comes.
+func (a *engineAttempt) run() outcome {
+	c, engine := a.p.c, a.choice.Engine
+	c.counts.read.Add(int64(a.choice.Read))
+	c.counts.moved.Add(int64(a.choice.Moved))
+	c.counts.hit.Add(int64(a.choice.Hit))
+	ctx := a.p.r.Context()
+	if !a.connect(ctx) {
+		return unreachable
+	}
+	stop := context.AfterFunc(ctx, a.conn.kill)
+	end, answer := a.exchange()
+	// A connection is kept only after a whole answer, and if nobody has killed it.
+	if answer != nil && !answer.Close && stop() {
+		c.pool.put(engine.ID, a.conn, answer.Header)
+		return end
+	}
+	stop()
+	a.conn.kill()
+	return end
+}
+
+// connect takes a connection of the pool, or makes one.
+func (a *engineAttempt) connect(ctx context.Context) bool {
+	c, engine := a.p.c, a.choice.Engine
+	a.conn = c.pool.get(engine.ID)
+	if a.conn != nil {
+		return true
+	}
+	conn, err := c.pool.dial(ctx, engine.Addr)
+	a.conn = conn
+	return err == nil
+}
+
+// exchange sends the request over the attempt's connection and deals with the answer. It
+// returns the answer if that was read to its end.
+func (a *engineAttempt) exchange() (outcome, *http.Response) {
+	p, c := a.p, a.p.c
+	// Looked at again at the moment of dispatch: the machine may have slept.
+	now := clock.Now()
+	if c.view.Load().age(now) > c.stale() || now >= p.deadline {
+		return unreachable, nil
+	}
+	_ = a.conn.SetDeadline(time.Now().Add(clock.Micros(p.deadline + lateAnswerUS - now)))
+	c.counts.sends.Add(1)
+	if _, err := a.conn.Write(a.message(now)); err != nil {
+		return a.broken(reasonEngineLost), nil
+	}
+	answer, word, end := a.readHead()
+	if answer == nil {
+		return end, nil
+	}
+	a.noteLoad(word)
+	if word.Skipped {
+		return a.skipped(answer)
+	}
+	if cause := unfit(answer, word); cause != "" {
+		return a.broken(cause), nil
+	}
+	if end = a.relay(answer); end != finished {
+		return end, nil
+	}
+	return end, answer
+}
+
+// noteLoad tells placement what the engine says of its load.
+func (a *engineAttempt) noteLoad(word Word) {
+	if !word.Loaded {
+		return
+	}
+	c := a.p.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pick.Load(clock.Now(), a.choice.Engine.ID, word.Running, word.Waiting, word.Slots)
+}
+
+// broken is the outcome of an attempt that was sent and lost.
+func (a *engineAttempt) broken(cause string) outcome {
+	switch {
+	case a.p.r.Context().Err() != nil:
+		cause = reasonCallerGone
+	case clock.Now() >= a.p.deadline:
+		cause = reasonDuePassed
+	}
+	return outcome{attempt.Broken, cause}
+}
--- /dev/null
+++ b/internal/app/proxy/message.go
@@ -0,0 +1,69 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// hopByHop are headers that concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// message is the request as the engine gets it: method, path, query and body are the
+// caller's own.
+func (a *engineAttempt) message(now int64) []byte {
+	p := a.p
+	var b bytes.Buffer
+	b.Grow(1024 + len(p.body))
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", p.r.Method, p.r.RequestURI, p.r.Host)
+	if len(p.body) > 0 || p.r.ContentLength > 0 || p.r.Method == http.MethodPost || p.r.Method == http.MethodPut {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(p.body))
+	}
+	_ = a.header(now).Write(&b)
+	b.WriteString("\r\n")
+	b.Write(p.body)
+	return b.Bytes()
+}
+
+// header is the caller's, without what concerns its connection, and with what the
+// engine is told.
+func (a *engineAttempt) header(now int64) http.Header {
+	p := a.p
+	h := p.r.Header.Clone()
+	for _, field := range p.r.Header["Connection"] {
+		for _, name := range strings.Split(field, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for name := range hopByHop {
+		h.Del(name)
+	}
+	told := Told{
+		Engine:   a.choice.Engine.ID,
+		WaitUS:   p.deadline - now,
+		Salt:     a.choice.Salt,
+		Source:   a.choice.Source,
+		Dest:     a.choice.Dest,
+		Model:    p.ask.Model,
+		Version:  a.choice.Version,
+		Priority: p.view.table.Rank(p.tenant, p.route),
+		After:    p.lastEvent,
+	}
+	if p.tenant != nil {
+		told.Tenant = p.tenant.Name
+	}
+	p.c.door.Tell(h, told)
+	return h
+}
--- /dev/null
+++ b/internal/app/proxy/passage.go
@@ -0,0 +1,164 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+
+	"violetthread/attempt"
+	"violetthread/internal/clock"
+	"violetthread/placement"
+	"violetthread/route"
+)
+
+// passage is one caller's request on its way.
+type passage struct {
+	c         *carrier
+	w         http.ResponseWriter
+	r         *http.Request
+	ask       Ask
+	view      *view // in force when the request had come whole
+	route     *route.Route
+	tenant    *route.Tenant // nil on a public route
+	body      []byte
+	deadline  int64
+	ledger    attempt.Passage
+	placing   placement.Request
+	lastEvent string // id of the last event that went out
+}
+
+const (
+	// dispatchMarginUS is the least time that must be left for another attempt.
+	dispatchMarginUS = 5_000
+
+	restFullUS  = 250_000 // for an engine that turned a request away
+	restLostUS  = 400_000 // for an engine that broke off; doubles with each failure
+	restOtherUS = 300_000 // for an address that is another engine's now, or has other weights
+)
+
+// run derives the next move from the ledger until the request has ended.
+func (p *passage) run() {
+	c := p.c
+	for {
+		now := clock.Now()
+		move := p.ledger.Next(p.facts(now))
+		switch move.Do {
+		case attempt.PassPlace:
+			if !p.place(now, move.Retry) {
+				p.refuse(reasonNoEngine)
+				return
+			}
+		case attempt.PassDone:
+			c.counts.done.Add(1)
+			return
+		case attempt.PassRefuse:
+			p.refuse(move.Reason)
+			return
+		case attempt.PassLost:
+			p.lost(move.Reason)
+			return
+		default: // PassCut: whatever came so far must not look whole
+			c.counts.cut.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// facts are what the ledger has to know beside its attempts.
+func (p *passage) facts(now int64) attempt.Facts {
+	p.c.mu.Lock()
+	defer p.c.mu.Unlock()
+	return attempt.Facts{Time: now < p.deadline-dispatchMarginUS, Budget: p.c.budget(p.placing.Pool).Has(now)}
+}
+
+// lost says that the request may have run and has no answer.
+func (p *passage) lost(reason string) {
+	p.c.counts.lost.Add(1)
+	if p.r.Context().Err() != nil {
+		panic(http.ErrAbortHandler) // nobody is there to read it
+	}
+	status := http.StatusBadGateway
+	if reason == reasonDuePassed {
+		status = http.StatusGatewayTimeout
+	}
+	p.c.respondError(p.w, status, reason, 0)
+}
+
+// refuse promises that the request has not run and will not; it says that it is lost if
+// an attempt may have run.
+func (p *passage) refuse(reason string) {
+	c := p.c
+	for _, a := range p.ledger.Attempts {
+		if a.State == attempt.Broken {
+			c.counts.lost.Add(1)
+			if p.ledger.Out {
+				panic(http.ErrAbortHandler)
+			}
+			c.respondError(p.w, http.StatusBadGateway, reasonEngineLost, 0)
+			return
+		}
+	}
+	c.counts.refused.Add(1)
+	backoff := int64(backoffRefused)
+	if reason == reasonNoEngine {
+		backoff = backoffNoEngine
+	}
+	c.respondError(p.w, http.StatusServiceUnavailable, reason, backoff)
+}
+
+// place chooses an engine and makes one attempt at it; false if there is none.
+func (p *passage) place(now int64, retry bool) bool {
+	choice, ok := p.choose(now, retry)
+	if !ok {
+		return false
+	}
+	p.placing.Tried[choice.Engine.ID] = true
+	id := strconv.Itoa(len(p.ledger.Attempts))
+	p.ledger.Attempts = append(p.ledger.Attempts, attempt.Attempt{ID: id, Engine: choice.Engine.ID, State: attempt.Sent})
+	a := &engineAttempt{p: p, choice: &choice, id: id}
+	end := a.run()
+	p.settle(now, a, end)
+	if p.r.Context().Err() != nil && end.state != attempt.Finished {
+		p.ledger.Stop = reasonCallerGone
+	}
+	p.ledger.Note(id, end.state, end.cause)
+	return true
+}
+
+// choose picks an engine, counts the request there, and spends the budget of a retry.
+func (p *passage) choose(now int64, retry bool) (placement.Choice, bool) {
+	c := p.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	choice, ok := c.pick.Pick(now, &p.placing)
+	if !ok {
+		return choice, false
+	}
+	c.pick.Sent(&choice)
+	if retry {
+		c.budget(p.placing.Pool).Spend(now)
+		c.counts.more.Add(1)
+	}
+	return choice, true
+}
+
+// settle takes an attempt that has ended off its engine's load, and lets an engine rest
+// that failed or turned it away.
+func (p *passage) settle(now int64, a *engineAttempt, end outcome) {
+	c, engine := p.c, a.choice.Engine.ID
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pick.Ended(a.choice, a.began)
+	switch {
+	case end.state == attempt.NeverBegan && end.cause == causeSkipped:
+		c.counts.skipped.Add(1)
+		c.pick.Rest(now, engine, restFullUS, false)
+	case end.state == attempt.NeverBegan && end.cause == causeOther:
+		c.counts.skipped.Add(1)
+		c.pick.Rest(now, engine, restOtherUS, false)
+	case end.state == attempt.NeverBegan && end.cause == attempt.Unreachable:
+		c.pick.Rest(clock.Now(), engine, restLostUS, true)
+	case end.state == attempt.Broken && end.cause != reasonCallerGone && end.cause != reasonDuePassed:
+		c.counts.broken.Add(1)
+		c.pick.Rest(clock.Now(), engine, restLostUS, true)
+	}
+}
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -52,9 +52,7 @@
 	window map[string]*attempt.Window // by pool
 	allow  float64
 	srv    atomic.Pointer[http.Server]
-	closed atomic.Bool // no new connection is taken any more
 	met    atomic.Bool // a map that shows engines was seen
-	under  atomic.Int64
 	counts counts
 }
 
@@ -154,7 +152,7 @@
 		return trace.ConnectionProblem(err, "can't listen on %s; give it a free IP:port of this machine", c.s.Listen)
 	}
 	s := &http.Server{Handler: http.HandlerFunc(c.serve), ReadHeaderTimeout: clock.Micros(l.HeaderUS), IdleTimeout: clock.Micros(l.IdleUS),
-		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), ConnContext: withRaw}
+		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), ConnContext: withCallerConn}
 	if l.HeaderUS <= 0 {
 		s.ReadHeaderTimeout = 5 * time.Second
 	}
@@ -163,7 +161,7 @@
 	}
 	c.srv.Store(s)
 	c.d.Group.Go("callers", func(context.Context) {
-		if err := s.Serve(rawListener{ln}); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(callerListener{ln}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			c.d.Log.Info("callers_problem", "cause", err.Error())
 			c.d.Stop()
 		}
@@ -188,7 +186,6 @@
 		return
 	}
 	taskgroup.Pause(ctx, awayUS)
-	c.closed.Store(true)
 	_ = s.Shutdown(ctx)
 	c.pool.closeIdle()
 }
