proxy: an answer's end, a refusal and the budget are looked at where it counts

Found by faults at every byte and by reading; each test failed first: - TestStrayAnswerIsReadToItsEnd: what lay beyond 1 MiB of a stray answer was read as the next answer (forged id and seal went to a caller). It is read to its end or the connection ends. TestSkipBodyIsReadToItsEnd: the same for refusals over 64 KiB; a refusal's body is waited for 50 ms at most. - TestOnlyRefusalsAreProof: a 200, 302, 404 or 500 with the mark of a skipped request was taken as proof and the request sent again. Only 400, 421, 429, 503 prove. - TestLengthBesideChunks: an answer with a length and chunks was passed on. - TestOneEnginesStreamStaysWhole: events of a first engine were dropped where ids did not rise or began below the caller's Last-Event-Id. Only a resumed stream is filtered. - TestCutAnswerToAnOldClient: a cut stream to an HTTP/1.0 client looked whole; it is reset. - TestAmbiguityIsJudgedAnew, TestPipelined: after an answer that came before its request's body had been read, the head of the request before was judged; pipelined requests were refused for good (400). A connection now hands on one request at a time. - TestBudgetIsLookedAtWhereItIsSpent: two requests could spend one retry. - TestRefusedBeforeItWasSentWhole: a refusal to a long request that was still being sent was not read (502 in place of another engine). - TestCallerGoneIsNoFaultOfTheEngine: an engine rested because a caller had left. Ruled out: TestFaultAtEveryByteOfARequest and ...OfAnAnswer (reset, close, silence at every byte, four kinds of route, kept and new connections) found nothing on the former code.

--- a/internal/app/proxy/admission.go
+++ b/internal/app/proxy/admission.go
@@ -32,10 +32,7 @@
 		c.respondError(w, http.StatusServiceUnavailable, reasonConfigMissing, backoffConfigMissing)
 		return
 	}
-	conn := callerConnOf(r.Context())
-	defer conn.next()
-	if !conn.unambiguous() {
-		// Where one request ends and the next begins is in doubt.
+	if callerConnOf(r.Context()).doubt() != nil {
 		w.Header().Set("Connection", "close")
 		c.respondError(w, http.StatusBadRequest, reasonMalformed, 0)
 		return
--- a/internal/app/proxy/answer.go
+++ b/internal/app/proxy/answer.go
@@ -3,14 +3,17 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"violetthread/attempt"
+	"violetthread/internal/clock"
 )
 
 const (
 	strayAnswers     = 2        // answers to former requests that are read away before the right one
 	strayAnswerBytes = 1 << 20  // how long such an answer may be
 	skipBodyBytes    = 64 << 10 // how long the body of a refusal may be
+	skipBodyUS       = 50_000   // and how long it may take: the caller waits for another engine
 )
 
 // readHead reads the head of the answer to this very attempt. An answer to a former one
@@ -18,7 +21,7 @@
 // outcome says why.
 func (a *engineAttempt) readHead() (*http.Response, Word, outcome) {
 	for stray := 0; ; {
-		answer, err := http.ReadResponse(a.conn.br, a.p.r)
+		answer, err := a.conn.readHead(a.p.r)
 		if err != nil {
 			return nil, Word{}, a.broken(reasonEngineLost)
 		}
@@ -32,7 +35,7 @@
 		if a.conn.used == 0 || word.Attempt == "" || stray == strayAnswers || answer.Close {
 			return nil, Word{}, a.broken(reasonEngineMalformed)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, strayAnswerBytes)); err != nil {
+		if !discard(answer.Body, strayAnswerBytes) {
 			return nil, Word{}, a.broken(reasonEngineMalformed)
 		}
 		stray++
@@ -48,18 +51,36 @@
 	return word.Attempt == a.p.ask.Attempt
 }
 
+// refusals are the statuses by which an engine says that it did not run a request.
+var refusals = map[int]bool{
+	http.StatusBadRequest:         true,
+	http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests:    true,
+	http.StatusServiceUnavailable: true,
+}
+
 // skipped deals with an engine's word that it did not run the request.
 func (a *engineAttempt) skipped(answer *http.Response) (outcome, *http.Response) {
+	if !refusals[answer.StatusCode] {
+		return a.broken(reasonEngineMalformed), nil
+	}
 	end := outcome{attempt.NeverBegan, causeSkipped}
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		end.cause = causeOther
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, skipBodyBytes)); err != nil {
+	_ = a.conn.SetReadDeadline(time.Now().Add(clock.Micros(skipBodyUS)))
+	if !discard(answer.Body, skipBodyBytes) {
 		return end, nil
 	}
 	return end, answer
 }
 
+// discard reads a body away; false if it breaks off or is longer than limit.
+func discard(body io.Reader, limit int64) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	return err == nil && n <= limit
+}
+
 // promises are the statuses by which a caller is told that its request never ran.
 var promises = map[int]bool{
 	http.StatusRequestTimeout:     true,
--- /dev/null
+++ b/internal/app/proxy/budget_test.go
@@ -0,0 +1,39 @@
+package proxy
+
+import (
+	"errors"
+	"net"
+	"testing"
+
+	"violetthread/internal/clock"
+	"violetthread/placement"
+	"violetthread/route"
+)
+
+// TestBudgetIsLookedAtWhereItIsSpent: between a passage's move and its attempt others may
+// have spent what was left.
+func TestBudgetIsLookedAtWhereItIsSpent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := l.Addr().String()
+	_ = l.Close()
+	u := NewUnattached(t, listen, nil, route.Compile(route.Config{}, 1))
+	u.SetRetries(0, 1)
+	u.SetEngines(&placement.Engine{ID: "e", Pool: "p", Addr: "127.0.0.1:1"})
+	now := clock.Now()
+	p := &passage{c: u.c, deadline: now + 1_000_000, placing: placement.Request{Pool: "p", Tried: map[string]bool{}}}
+	if !p.facts(now).Budget {
+		t.Fatal("there is no budget to begin with")
+	}
+	if _, err := p.choose(now, true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.choose(now, true); !errors.Is(err, errRetryBudget) {
+		t.Fatalf("a second attempt was chosen with a budget for one: %v", err)
+	}
+	if _, err := p.choose(now, false); err != nil {
+		t.Fatalf("a first attempt needs no budget: %v", err)
+	}
+}
--- a/internal/app/proxy/callerconn.go
+++ b/internal/app/proxy/callerconn.go
@@ -1,26 +1,20 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"sync"
 )
 
-// The library reads leniently where one request might be taken for two: it drops a
-// length beside chunks, joins folded lines. What lies between callers and engines must
-// not, so the bytes of each head are looked at as they came (RFC 9112 §6.3, §11.2).
-
-// callerConn keeps the head of the request under way on a caller's connection.
+// callerConn is a caller's connection. It hands on one request at a time: what came
+// together with a request and lies beyond its end stays here until it is read for.
 type callerConn struct {
 	net.Conn
-	mu   sync.Mutex
-	head []byte
-	done bool // the blank line was seen
+	mu       sync.Mutex
+	requests splitter
+	pending  []byte // beyond the end of a request
 }
 
-const headMost = 1 << 20
-
 type callerConnKey struct{}
 
 type callerListener struct{ net.Listener }
@@ -38,76 +32,46 @@
 }
 
 func callerConnOf(ctx context.Context) *callerConn {
-	r, _ := ctx.Value(callerConnKey{}).(*callerConn)
-	return r
+	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	return c
 }
 
-// Read passes bytes on and keeps those of the head.
-func (r *callerConn) Read(b []byte) (int, error) {
-	n, err := r.Conn.Read(b)
-	if n > 0 {
-		r.mu.Lock()
-		if !r.done && len(r.head) < headMost {
-			from := max(0, len(r.head)-3)
-			r.head = append(r.head, b[:n]...)
-			if i := bytes.Index(r.head[from:], []byte("\n\r\n")); i >= 0 {
-				r.head, r.done = r.head[:from+i+3], true
-			} else if i := bytes.Index(r.head[from:], []byte("\n\n")); i >= 0 {
-				r.head, r.done = r.head[:from+i+2], true
-			}
-		}
-		r.mu.Unlock()
+// Read never reads beyond the end of a request. One read at a time is under way.
+func (c *callerConn) Read(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := copy(b, c.pending); n > 0 {
+		taken := c.requests.take(b[:n])
+		c.pending = c.pending[taken:]
+		return taken, nil
 	}
-	return n, err
+	c.mu.Unlock()
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	taken := c.requests.take(b[:n])
+	c.pending = append([]byte(nil), b[taken:n]...)
+	return taken, err
 }
 
-// next forgets the head: the next bytes begin another request.
-func (r *callerConn) next() {
-	if r == nil {
-		return
+// doubt says why it is not clear where the request whose head came last ends; nil if it is.
+func (c *callerConn) doubt() error {
+	if c == nil {
+		return nil
 	}
-	r.mu.Lock()
-	r.head, r.done = r.head[:0], false
-	r.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests.doubt
 }
 
-// unambiguous reports whether the head leaves no doubt about where its request ends. A
-// request that came together with the one before has no head here, and is in doubt.
-func (r *callerConn) unambiguous() bool {
-	if r == nil {
-		return true
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.done {
-		return false
+// resetOnClose makes the end of the connection visible as one that was not planned.
+func (c *callerConn) resetOnClose() {
+	if c == nil {
+		return
 	}
-	var lengths, codings int
-	lines := bytes.Split(r.head, []byte("\n"))
-	for i, l := range lines[:len(lines)-1] {
-		l, ok := bytes.CutSuffix(l, []byte("\r"))
-		if !ok || bytes.IndexByte(l, '\r') >= 0 || bytes.IndexByte(l, 0) >= 0 {
-			return false
-		}
-		if i == 0 || len(l) == 0 {
-			continue
-		}
-		k, v, ok := bytes.Cut(l, []byte(":"))
-		if !ok || len(k) == 0 || bytes.ContainsAny(k, " \t") {
-			return false // folded, or a name that is none
-		}
-		switch {
-		case bytes.EqualFold(k, []byte("Content-Length")):
-			lengths++
-			if v = bytes.Trim(v, " \t"); len(v) == 0 || len(bytes.Trim(v, "0123456789")) > 0 {
-				return false
-			}
-		case bytes.EqualFold(k, []byte("Transfer-Encoding")):
-			codings++
-			if !bytes.EqualFold(bytes.Trim(v, " "), []byte("chunked")) {
-				return false
-			}
-		}
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
 	}
-	return lengths+codings <= 1
 }
--- a/internal/app/proxy/connpool.go
+++ b/internal/app/proxy/connpool.go
@@ -11,6 +11,7 @@
 	"sync"
 	"syscall"
 
+	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
 
 	"violetthread/internal/clock"
@@ -34,6 +35,8 @@
 }
 
 const (
+	maxAnswerHeadBytes = 16 << 10
+
 	idleMost = 4_000_000 // a connection idle for longer is not used again
 	idleEach = 24        // idle connections kept to one engine
 	dialMost = 350_000
@@ -101,7 +104,7 @@
 	p.mu.Lock()
 	p.Dials++
 	p.mu.Unlock()
-	return &engineConn{Conn: c, br: bufio.NewReaderSize(c, 8<<10)}, nil
+	return &engineConn{Conn: c, br: bufio.NewReaderSize(c, maxAnswerHeadBytes)}, nil
 }
 
 // put gives a connection back after a whole answer.
@@ -136,6 +139,26 @@
 	return keep
 }
 
+// readHead reads the head of the next answer, to a request of this kind. An answer that
+// leaves a doubt about its end is an error.
+func (w *engineConn) readHead(request *http.Request) (*http.Response, error) {
+	for {
+		came, _ := w.br.Peek(w.br.Buffered())
+		if end := headEnd(came); end > 0 {
+			if _, err := framingOf(came[:end]); err != nil {
+				return nil, err
+			}
+			return http.ReadResponse(w.br, request)
+		}
+		if len(came) == w.br.Size() {
+			return nil, trace.LimitExceeded("the head of an answer is over %d bytes", w.br.Size())
+		}
+		if _, err := w.br.Peek(len(came) + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // kill drops a connection at once: what is still on its way is not sent any more.
 func (w *engineConn) kill() {
 	if t, ok := w.Conn.(*net.TCPConn); ok {
--- a/internal/app/proxy/engineattempt.go
+++ b/internal/app/proxy/engineattempt.go
@@ -15,8 +15,11 @@
 	p      *passage
 	choice *placement.Choice
 	id     string // in the ledger
-	began  bool   // the engine has answered with content
 	conn   *engineConn
+
+	unreached bool // no connection came about, and the caller is not the reason
+	began     bool // the engine has answered with content
+	resumes   bool // it goes on with a stream that another engine began
 }
 
 // outcome is how an attempt ended.
@@ -70,6 +73,7 @@
 	}
 	conn, err := c.pool.dial(ctx, engine.Addr)
 	a.conn = conn
+	a.unreached = err != nil && ctx.Err() == nil
 	return err == nil
 }
 
@@ -79,21 +83,26 @@
 	p, c := a.p, a.p.c
 	// Looked at again at the moment of dispatch: the machine may have slept.
 	now := clock.Now()
-	if c.view.Load().age(now) > c.stale() || now >= p.deadline {
+	switch {
+	case c.view.Load().age(now) > c.stale():
+		p.ledger.Stop = reasonConfigNotFresh
+		return unreachable, nil
+	case now >= p.deadline:
 		return unreachable, nil
 	}
 	_ = a.conn.SetDeadline(time.Now().Add(clock.Micros(p.deadline + lateAnswerUS - now)))
 	c.counts.sends.Add(1)
-	if _, err := a.conn.Write(a.message(now)); err != nil {
-		return a.broken(reasonEngineLost), nil
-	}
+	_, writeErr := a.conn.Write(a.message(now))
 	answer, word, end := a.readHead()
 	if answer == nil {
 		return end, nil
 	}
 	a.noteLoad(word)
-	if word.Skipped {
+	switch {
+	case word.Skipped: // an engine may refuse a request before it has read it whole
 		return a.skipped(answer)
+	case writeErr != nil:
+		return a.broken(reasonEngineLost), nil
 	}
 	if cause := unfit(answer, word); cause != "" {
 		return a.broken(cause), nil
--- /dev/null
+++ b/internal/app/proxy/export_test.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"violetthread/attempt"
+	"violetthread/hint"
+	"violetthread/internal/base"
+	"violetthread/internal/clock"
+	"violetthread/placement"
+	"violetthread/route"
+)
+
+// Unattached is a proxy without control nodes: tests say what is in force and which
+// engines there are.
+type Unattached struct {
+	c      *carrier
+	Listen string
+}
+
+// NewUnattached starts one that listens for callers.
+func NewUnattached(t testing.TB, listen string, door Door, table *route.Table) *Unattached {
+	t.Helper()
+	bounds := route.DefaultBounds()
+	bounds.RetryAllowance, bounds.RetryRatio = 1e9, 1
+	c := &carrier{
+		s:      Settings{Name: "unattached", Site: "here", Listen: listen, Bounds: bounds},
+		d:      quietDaemon(),
+		door:   door,
+		pool:   newPool(),
+		hints:  hint.NewHolders(64),
+		window: map[string]*attempt.Window{},
+		allow:  1e9,
+	}
+	c.pick = placement.New(c.s.Site, c.hints)
+	c.view.Store(&view{table: table, rev: 1, at: clock.Now() + 1<<40, known: true, peers: 1})
+	if err := c.open(table.Limits); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.pool.closeIdle()
+		c.d.Group.Stop()
+	})
+	return &Unattached{c: c, Listen: listen}
+}
+
+// SetEngines replaces the engines by others that have never failed.
+func (u *Unattached) SetEngines(engines ...*placement.Engine) {
+	u.c.mu.Lock()
+	defer u.c.mu.Unlock()
+	u.c.pick = placement.New(u.c.s.Site, u.c.hints)
+	u.c.pick.Map(engines, nil)
+}
+
+// SetRetries replaces what the proxy may spend on further attempts.
+func (u *Unattached) SetRetries(ratio, allowance float64) {
+	u.c.mu.Lock()
+	defer u.c.mu.Unlock()
+	u.c.allow = allowance
+	u.c.s.Bounds.RetryRatio = ratio
+	u.c.window = map[string]*attempt.Window{}
+}
+
+// NewView takes the configuration away, or gives one.
+func (u *Unattached) NewView(table *route.Table) {
+	v := *u.c.view.Load()
+	v.table = table
+	u.c.view.Store(&v)
+}
+
+func quietDaemon() *base.Daemon {
+	d := base.Start("proxy", "unattached", "127.0.0.1:0", 0)
+	d.Log = logr.Discard()
+	return d
+}
--- a/internal/app/proxy/passage.go
+++ b/internal/app/proxy/passage.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 
+	"github.com/gravitational/trace"
+
 	"violetthread/attempt"
 	"violetthread/internal/clock"
 	"violetthread/placement"
@@ -43,7 +46,8 @@
 		move := p.ledger.Next(p.facts(now))
 		switch move.Do {
 		case attempt.PassPlace:
-			if !p.place(now, move.Retry) {
+			// A budget that was spent meanwhile is seen at the next move.
+			if err := p.place(now, move.Retry); errors.Is(err, errNoEngine) {
 				p.refuse(reasonNoEngine)
 				return
 			}
@@ -58,7 +62,7 @@
 			return
 		default: // PassCut: whatever came so far must not look whole
 			c.counts.cut.Add(1)
-			panic(http.ErrAbortHandler)
+			p.abort()
 		}
 	}
 }
@@ -74,7 +78,7 @@
 func (p *passage) lost(reason string) {
 	p.c.counts.lost.Add(1)
 	if p.r.Context().Err() != nil {
-		panic(http.ErrAbortHandler) // nobody is there to read it
+		p.abort() // nobody is there to read it
 	}
 	status := http.StatusBadGateway
 	if reason == reasonDuePassed {
@@ -91,7 +95,7 @@
 		if a.State == attempt.Broken {
 			c.counts.lost.Add(1)
 			if p.ledger.Out {
-				panic(http.ErrAbortHandler)
+				p.abort()
 			}
 			c.respondError(p.w, http.StatusBadGateway, reasonEngineLost, 0)
 			return
@@ -105,11 +109,26 @@
 	c.respondError(p.w, http.StatusServiceUnavailable, reason, backoff)
 }
 
-// place chooses an engine and makes one attempt at it; false if there is none.
-func (p *passage) place(now int64, retry bool) bool {
-	choice, ok := p.choose(now, retry)
-	if !ok {
-		return false
+// abort ends the connection so that the answer can't look whole: chunks and lengths tell,
+// and where there may be neither, a reset does.
+func (p *passage) abort() {
+	if !p.r.ProtoAtLeast(1, 1) {
+		callerConnOf(p.r.Context()).resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// Why no attempt was made.
+var (
+	errNoEngine    = trace.NotFound("no engine of the pool is in use; come back shortly")
+	errRetryBudget = trace.LimitExceeded("further attempts are bounded over the whole fleet; come back shortly")
+)
+
+// place chooses an engine and makes one attempt at it.
+func (p *passage) place(now int64, retry bool) error {
+	choice, err := p.choose(now, retry)
+	if err != nil {
+		return err
 	}
 	p.placing.Tried[choice.Engine.ID] = true
 	id := strconv.Itoa(len(p.ledger.Attempts))
@@ -121,24 +140,28 @@
 		p.ledger.Stop = reasonCallerGone
 	}
 	p.ledger.Note(id, end.state, end.cause)
-	return true
+	return nil
 }
 
 // choose picks an engine, counts the request there, and spends the budget of a retry.
-func (p *passage) choose(now int64, retry bool) (placement.Choice, bool) {
+func (p *passage) choose(now int64, retry bool) (placement.Choice, error) {
 	c := p.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	budget := c.budget(p.placing.Pool)
+	if retry && !budget.Has(now) {
+		return placement.Choice{}, errRetryBudget
+	}
 	choice, ok := c.pick.Pick(now, &p.placing)
 	if !ok {
-		return choice, false
+		return choice, errNoEngine
 	}
 	c.pick.Sent(&choice)
 	if retry {
-		c.budget(p.placing.Pool).Spend(now)
+		budget.Spend(now)
 		c.counts.more.Add(1)
 	}
-	return choice, true
+	return choice, nil
 }
 
 // settle takes an attempt that has ended off its engine's load, and lets an engine rest
@@ -155,7 +178,7 @@
 	case end.state == attempt.NeverBegan && end.cause == causeOther:
 		c.counts.skipped.Add(1)
 		c.pick.Rest(now, engine, restOtherUS, false)
-	case end.state == attempt.NeverBegan && end.cause == attempt.Unreachable:
+	case a.unreached:
 		c.pick.Rest(clock.Now(), engine, restLostUS, true)
 	case end.state == attempt.Broken && end.cause != reasonCallerGone && end.cause != reasonDuePassed:
 		c.counts.broken.Add(1)
--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -41,6 +41,7 @@
 // relayStream passes events on as they arrive. The head goes out with the first whole
 // event, so that an answer that breaks before it can still come from elsewhere.
 func (a *engineAttempt) relayStream(answer *http.Response) outcome {
+	a.resumes = a.p.ledger.Out
 	br := bufio.NewReaderSize(answer.Body, 4096)
 	for {
 		event, id, err := readEvent(br)
@@ -66,7 +67,7 @@
 		return
 	}
 	a.begin()
-	if a.p.ledger.Out {
+	if a.resumes {
 		a.p.c.counts.resumed.Add(1)
 		return
 	}
@@ -92,9 +93,10 @@
 	return true
 }
 
-// fresh keeps an event from going out twice when a stream was taken up elsewhere.
+// fresh keeps an event from going out twice when a stream was taken up elsewhere. What
+// the first engine says goes out as it is.
 func (a *engineAttempt) fresh(id string) bool {
-	if id == "" || a.p.lastEvent == "" {
+	if !a.resumes || id == "" || a.p.lastEvent == "" {
 		return true
 	}
 	this, err1 := strconv.ParseInt(id, 10, 64)
