--- a/internal/app/proxy/faults_test.go
+++ b/internal/app/proxy/faults_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -212,8 +211,7 @@
 	s := newStage(t, "budget")
 	for round := range 6 {
 		s.proxy.SetRetries(0, 1)
-		var all sync.WaitGroup
-		all.Add(callers)
+		all := make(chan struct{})
 		s.beginMany(2*callers, func(c *engineConn, arrival int) {
 			if arrival >= callers {
 				c.answerProperly(repeatable)
@@ -222,8 +220,10 @@
 			if _, _, err := c.readRequest(); err != nil {
 				return
 			}
-			all.Done()
-			all.Wait()
+			if arrival == callers-1 {
+				close(all)
+			}
+			await(all)
 			c.strike(faultReset)
 		})
 		group := taskgroup.New(context.Background(), logr.Discard())
@@ -349,6 +349,3 @@
 		t.Errorf("%d runs of %d requests", n, len(ids))
 	}
 }
-
-// localPort is where a caller's connection comes from.
-func localPort(c net.Conn) *net.TCPAddr { return c.LocalAddr().(*net.TCPAddr) }
--- a/internal/app/proxy/standin_test.go
+++ b/internal/app/proxy/standin_test.go
@@ -323,6 +323,10 @@
 		conn, _ = net.Pipe()
 		_ = conn.Close()
 	}
+	return newCaller(conn)
+}
+
+func newCaller(conn net.Conn) *caller {
 	_ = conn.SetDeadline(time.Now().Add(patience))
 	return &caller{conn, bufio.NewReader(conn)}
 }
@@ -345,6 +349,14 @@
 	return c.read()
 }
 
+// await waits for a channel to be closed, and reports whether it was.
+func await(ch <-chan struct{}) bool {
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	_, _ = taskgroup.Wait(ctx, ch)
+	return ctx.Err() == nil
+}
+
 // promised reports whether a status says that the request never ran.
 func promised(status int) bool {
 	return status == 408 || status == 421 || status == 429 || status == 503
