--- a/internal/app/proxy/connpool.go
+++ b/internal/app/proxy/connpool.go
@@ -24,6 +24,8 @@
 	idle  map[string][]*engineConn // by engine's life
 	Dials uint64
 	Again uint64
+
+	dialTimeoutUS int64
 }
 
 // engineConn is a connection to one engine.
@@ -39,10 +41,13 @@
 
 	idleMost = 4_000_000 // a connection idle for longer is not used again
 	idleEach = 24        // idle connections kept to one engine
-	dialMost = 350_000
+
+	defaultDialTimeoutUS = 350_000
 )
 
-func newPool() *pool { return &pool{idle: map[string][]*engineConn{}} }
+func newPool() *pool {
+	return &pool{idle: map[string][]*engineConn{}, dialTimeoutUS: defaultDialTimeoutUS}
+}
 
 // get is an idle connection to an engine's life, or none.
 func (p *pool) get(id string) *engineConn {
@@ -91,7 +96,7 @@
 
 // dial makes a new connection. A far end that falls silent is noticed by the kernel.
 func (p *pool) dial(ctx context.Context, addr string) (*engineConn, error) {
-	d := net.Dialer{Timeout: clock.Micros(dialMost), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clock.Micros(1_000_000), Interval: clock.Micros(1_000_000), Count: 2},
+	d := net.Dialer{Timeout: clock.Micros(p.dialTimeoutUS), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clock.Micros(1_000_000), Interval: clock.Micros(1_000_000), Count: 2},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			return c.Control(func(fd uintptr) {
 				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 2000)
--- a/internal/app/proxy/export_test.go
+++ b/internal/app/proxy/export_test.go
@@ -13,6 +13,8 @@
 	"violetthread/route"
 )
 
+const patienceUS = 10_000_000
+
 // Unattached is a proxy without control nodes: tests say what is in force and which
 // engines there are.
 type Unattached struct {
@@ -34,6 +36,7 @@
 		window: map[string]*attempt.Window{},
 		allow:  1e9,
 	}
+	c.pool.dialTimeoutUS = patienceUS // the machine may be busy with other tests
 	c.pick = placement.New(c.s.Site, c.hints)
 	c.view.Store(&view{table: table, rev: 1, at: clock.Now() + 1<<40, known: true, peers: 1})
 	if err := c.open(table.Limits); err != nil {
