--- a/internal/app/proxy/pool.go
+++ b/internal/app/proxy/connpool.go
@@ -11,6 +11,7 @@
 	"sync"
 	"syscall"
 
+	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
 
 	"violetthread/internal/clock"
@@ -20,13 +21,15 @@
 // is used again only if its last answer was whole and nothing lies on it unasked.
 type pool struct {
 	mu    sync.Mutex
-	idle  map[string][]*wire // by engine's life
+	idle  map[string][]*engineConn // by engine's life
 	Dials uint64
 	Again uint64
+
+	dialTimeoutUS int64
 }
 
-// wire is a connection to one engine.
-type wire struct {
+// engineConn is a connection to one engine.
+type engineConn struct {
 	net.Conn
 	br    *bufio.Reader
 	used  int
@@ -34,15 +37,20 @@
 }
 
 const (
+	maxAnswerHeadBytes = 16 << 10
+
 	idleMost = 4_000_000 // a connection idle for longer is not used again
 	idleEach = 24        // idle connections kept to one engine
-	dialMost = 350_000
+
+	defaultDialTimeoutUS = 350_000
 )
 
-func newPool() *pool { return &pool{idle: map[string][]*wire{}} }
+func newPool() *pool {
+	return &pool{idle: map[string][]*engineConn{}, dialTimeoutUS: defaultDialTimeoutUS}
+}
 
 // get is an idle connection to an engine's life, or none.
-func (p *pool) get(id string) *wire {
+func (p *pool) get(id string) *engineConn {
 	for {
 		p.mu.Lock()
 		l := p.idle[id]
@@ -64,7 +72,7 @@
 }
 
 // quiet reports whether the far end has neither closed nor said anything.
-func (w *wire) quiet() bool {
+func (w *engineConn) quiet() bool {
 	if w.br.Buffered() > 0 {
 		return false
 	}
@@ -87,8 +95,8 @@
 }
 
 // dial makes a new connection. A far end that falls silent is noticed by the kernel.
-func (p *pool) dial(ctx context.Context, addr string) (*wire, error) {
-	d := net.Dialer{Timeout: clock.Micros(dialMost), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clock.Micros(1_000_000), Interval: clock.Micros(1_000_000), Count: 2},
+func (p *pool) dial(ctx context.Context, addr string) (*engineConn, error) {
+	d := net.Dialer{Timeout: clock.Micros(p.dialTimeoutUS), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: clock.Micros(1_000_000), Interval: clock.Micros(1_000_000), Count: 2},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			return c.Control(func(fd uintptr) {
 				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 2000)
@@ -101,11 +109,11 @@
 	p.mu.Lock()
 	p.Dials++
 	p.mu.Unlock()
-	return &wire{Conn: c, br: bufio.NewReaderSize(c, 8<<10)}, nil
+	return &engineConn{Conn: c, br: bufio.NewReaderSize(c, maxAnswerHeadBytes)}, nil
 }
 
 // put gives a connection back after a whole answer.
-func (p *pool) put(id string, w *wire, h http.Header) {
+func (p *pool) put(id string, w *engineConn, h http.Header) {
 	keep := keepAlive(h)
 	if w.br.Buffered() > 0 || keep <= 0 {
 		w.kill()
@@ -136,8 +144,28 @@
 	return keep
 }
 
+// readHead reads the head of the next answer, to a request of this kind. An answer that
+// leaves a doubt about its end is an error.
+func (w *engineConn) readHead(request *http.Request) (*http.Response, error) {
+	for {
+		came, _ := w.br.Peek(w.br.Buffered())
+		if end := headEnd(came); end > 0 {
+			if _, err := framingOf(came[:end]); err != nil {
+				return nil, err
+			}
+			return http.ReadResponse(w.br, request)
+		}
+		if len(came) == w.br.Size() {
+			return nil, trace.LimitExceeded("the head of an answer is over %d bytes", w.br.Size())
+		}
+		if _, err := w.br.Peek(len(came) + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // kill drops a connection at once: what is still on its way is not sent any more.
-func (w *wire) kill() {
+func (w *engineConn) kill() {
 	if t, ok := w.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
--- a/internal/app/proxy/raw_test.go
+++ b/internal/app/proxy/idle_test.go
@@ -35,7 +35,7 @@
 func TestIdleLimitInForce(t *testing.T) {
 	limit := time.Hour
 	far := &deadlineConn{}
-	c := &raw{Conn: far, idleLimit: func() time.Duration { return limit }}
+	c := &callerConn{Conn: far, idle: idleState{limit: func() time.Duration { return limit }}}
 	far.beforeRead = func(reads int) {
 		if reads == 3 { // an operator lowers the limit below what was rested already
 			limit = 0
@@ -57,7 +57,7 @@
 // TestIdleLimitOnlyAtRest: a read within a request ends at its deadline.
 func TestIdleLimitOnlyAtRest(t *testing.T) {
 	far := &deadlineConn{}
-	c := &raw{Conn: far, idleLimit: func() time.Duration { return time.Hour }}
+	c := &callerConn{Conn: far, idle: idleState{limit: func() time.Duration { return time.Hour }}}
 	noteState(c, http.StateIdle)
 	noteState(c, http.StateActive)
 	want := time.Now().Add(time.Minute)
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -52,9 +52,7 @@
 	window map[string]*attempt.Window // by pool
 	allow  float64
 	srv    atomic.Pointer[http.Server]
-	closed atomic.Bool // no new connection is taken any more
 	met    atomic.Bool // a map that shows engines was seen
-	under  atomic.Int64
 	counts counts
 }
 
@@ -154,13 +152,13 @@
 		return trace.ConnectionProblem(err, "can't listen on %s; give it a free IP:port of this machine", c.s.Listen)
 	}
 	s := &http.Server{Handler: http.HandlerFunc(c.serve), ReadHeaderTimeout: clock.Micros(l.HeaderUS), IdleTimeout: idleUnbounded,
-		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), ConnContext: withRaw, ConnState: noteState}
+		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), ConnContext: withCallerConn, ConnState: noteState}
 	if l.HeaderUS <= 0 {
 		s.ReadHeaderTimeout = 5 * time.Second
 	}
 	c.srv.Store(s)
 	c.d.Group.Go("callers", func(context.Context) {
-		if err := s.Serve(rawListener{Listener: ln, idleLimit: c.idleLimit}); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(callerListener{Listener: ln, idleLimit: c.idleLimit}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			c.d.Log.Info("callers_problem", "cause", err.Error())
 			c.d.Stop()
 		}
@@ -173,9 +171,6 @@
 	return nil
 }
 
-// idleDefault is how long a connection may rest where the configuration says nothing.
-const idleDefault = 60 * time.Second
-
 // idleLimit is how long a caller's connection may rest under the configuration in force.
 func (c *carrier) idleLimit() time.Duration {
 	if t := c.view.Load().table; t != nil && t.Limits.IdleUS > 0 {
@@ -196,7 +191,6 @@
 		return
 	}
 	taskgroup.Pause(ctx, awayUS)
-	c.closed.Store(true)
 	_ = s.Shutdown(ctx)
 	c.pool.closeIdle()
 }
