An overfull roster sheds the voter whose successor came before it went

A planned replacement lets the new machine in first. At an odd core that made an even roster: five that bear two losses became six, the old one went and kept its seat, and five of six bear one loss until the next newcomer comes. With two lost after that no majority was left, for good. The same at three machines; four and eight become five and nine, where a dead seat costs nothing.

A roster now counts the seats that the fleet keeps. With more voters than that, and an even number, the owner of its register drops one that leaves, or is silent for 1.5 s. A voter told to stop says so with each beat and ends once its seat is dropped (0.9 s at most).

Ruled out: dropping silent voters in general (a cut of 20 s would cost the disk's state and a whole catching up), and learners (docs/design.md §4.6 gives the figures: newcomers hold everything within 1.63 s, counted as lost for 4 or 6 s).

--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -296,21 +296,6 @@
 	}
 }
 
-// leave gives the slots up before a polite stop, and lets the word go out.
-func (r *Node) leave(ctx context.Context) {
-	if !r.up.Load() {
-		return
-	}
-	done := make(chan struct{})
-	if taskgroup.Give(ctx, r.in, func(now int64) {
-		r.out(r.node.Leave(now))
-		close(done)
-	}) {
-		taskgroup.Wait(ctx, done)
-		taskgroup.Pause(ctx, 100_000)
-	}
-}
-
 // give queues a frame for another voter, on a sender of its own so that a slow
 // one holds up nobody. Called from the voter's loop alone.
 func (r *Node) give(name string, m *fb.FrameT) {
--- a/internal/app/control/join.go
+++ b/internal/app/control/join.go
@@ -170,7 +170,7 @@
 // ask asks one registrar who it is and which roster it follows. A blank one asks to
 // be let in by that.
 func (r *Node) ask(ctx context.Context, addr string, blank bool) *fb.FoundTellT {
-	t, err := r.book.At(addr).Call(ctx, &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc(), Blank: blank}}, askLimit)
+	t, err := r.book.At(addr).Call(ctx, &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc(), Blank: blank, First: r.s.Found}}, askLimit)
 	if err != nil {
 		return nil
 	}
@@ -210,7 +210,7 @@
 		}
 	}
 	fleet := h.Sum64() >> 24
-	return &fb.FoundingT{Fleet: fleet, Rev: quorum.Found(fleet), Voters: vs}, nil
+	return &fb.FoundingT{Fleet: fleet, Rev: quorum.Found(fleet), Voters: vs, Seats: uint16(len(vs))}, nil
 }
 
 // foundTell answers who this is. A blank asker wants to be let in; one that votes may
@@ -222,7 +222,13 @@
 	case err != nil || q.Name == "" || q.Inc == 0:
 	case q.Blank && f != nil && r.up.Load():
 		v := quorum.Voter{Name: q.Name, Addr: q.Addr, Inc: q.Inc}
-		taskgroup.Offer(r.in, func(now int64) { r.out(r.node.Admit(now, v)) })
+		taskgroup.Offer(r.in, func(now int64) {
+			if q.First {
+				r.out(r.node.Grow(now, v))
+				return
+			}
+			r.out(r.node.Admit(now, v))
+		})
 	case !q.Blank && f == nil:
 		r.learn([]string{q.Addr})
 	}
@@ -268,3 +274,33 @@
 		})
 	}
 }
+
+const (
+	leaveLeast = 100_000 // for the word to go out
+	leaveMost  = 900_000 // for the rest to drop the seat; they do so without this node as well
+)
+
+// leave gives the slots up before a polite stop. A machine whose successor was let in
+// before stays until the rest has dropped its seat, so that the stop costs no margin.
+func (r *Node) leave(ctx context.Context) {
+	if !r.up.Load() {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, clock.Micros(leaveMost))
+	defer stop()
+	if !taskgroup.Give(ctx, r.in, func(now int64) { r.out(r.node.Leave(now)) }) {
+		return
+	}
+	for taskgroup.Pause(ctx, leaveLeast) && r.handingOver(ctx) {
+	}
+}
+
+// handingOver asks the voter's loop whether this node's seat is about to be dropped.
+func (r *Node) handingOver(ctx context.Context) bool {
+	answer := make(chan bool, 1)
+	if !taskgroup.Give(ctx, r.in, func(int64) { answer <- r.node.HandingOver() }) {
+		return false
+	}
+	handing, ok := taskgroup.Wait(ctx, answer)
+	return ok && handing
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -151,14 +151,14 @@
 
 // Roster packs a roster, with the incarnation of the disk it lies on.
 func Roster(ro quorum.Roster, inc uint64) *fb.FoundingT {
-	return &fb.FoundingT{Fleet: ro.Fleet(), Inc: inc, Rev: ro.Rev, Voters: lo.Map(ro.Voters, func(v quorum.Voter, _ int) *fb.VoterT {
+	return &fb.FoundingT{Fleet: ro.Fleet(), Inc: inc, Rev: ro.Rev, Seats: ro.Seats, Voters: lo.Map(ro.Voters, func(v quorum.Voter, _ int) *fb.VoterT {
 		return &fb.VoterT{Name: v.Name, Addr: v.Addr, Inc: v.Inc, Num: v.Num}
 	})}
 }
 
 // Unroster unpacks a roster.
 func Unroster(f *fb.FoundingT) quorum.Roster {
-	return quorum.Roster{Rev: f.Rev, Voters: lo.Map(f.Voters, func(v *fb.VoterT, _ int) quorum.Voter {
+	return quorum.Roster{Rev: f.Rev, Seats: f.Seats, Voters: lo.Map(f.Voters, func(v *fb.VoterT, _ int) quorum.Voter {
 		return quorum.Voter{Name: v.Name, Addr: v.Addr, Inc: v.Inc, Num: v.Num}
 	})}
 }
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -79,6 +79,9 @@
 					n.adoptRoster(now, r, o)
 				}
 			}
+			if i == SlotOf(RosterKey, n.p.Slots) {
+				n.shed(now, o)
+			}
 		}
 	}
 }
--- a/quorum/lease.go
+++ b/quorum/lease.go
@@ -15,6 +15,9 @@
 		}
 	}
 	n.others(func(v string) { n.send(o, v, Msg{Kind: Beat, At: now, Marks: ms}) })
+	if n.leaving {
+		n.others(func(v string) { n.send(o, v, Msg{Kind: Leaving}) })
+	}
 }
 
 // renew works out the owner's lease: it runs from the sending of the newest
@@ -95,7 +98,7 @@
 }
 
 // Leave gives all slots up ahead of a polite stop and tells the voters, so that
-// others need not wait the leases out. The node seeks nothing any more.
+// others need not wait the leases out. The node seeks nothing any more, and votes on.
 func (n *Node) Leave(now int64) Out {
 	var o Out
 	n.leaving = true
@@ -111,5 +114,6 @@
 	if len(ms) > 0 {
 		n.others(func(v string) { n.send(&o, v, Msg{Kind: Yield, Marks: ms}) })
 	}
+	n.others(func(v string) { n.send(&o, v, Msg{Kind: Leaving}) })
 	return o
 }
--- a/quorum/membership.go
+++ b/quorum/membership.go
@@ -28,27 +28,73 @@
 }
 
 // Admit takes the step that lets a newcomer in, if this node owns the roster's register
-// and may take one now; else the newcomer asks again.
-func (n *Node) Admit(now int64, v Voter) Out {
+// and may take one now; else the newcomer asks again. It replaces another, which may
+// have gone already or is about to.
+func (n *Node) Admit(now int64, v Voter) Out { return n.admit(now, v, false) }
+
+// Grow lets a newcomer in as Admit does, into a seat of its own: it belongs to a fleet
+// that starts for the first time and has not all its voters yet.
+func (n *Node) Grow(now int64, v Voter) Out { return n.admit(now, v, true) }
+
+func (n *Node) admit(now int64, v Voter, grows bool) Out {
 	var o Out
-	i := SlotOf(RosterKey, n.p.Slots)
-	s, asked := n.slots[i], n.asked(now, v.Inc)
-	if _, busy := s.pend[RosterKey]; busy || s.st != owning || now >= s.ownUntil || n.leaving {
+	asked := n.asked(now, v.Inc)
+	if !n.maySet(now) {
 		return o
 	}
-	r, ok := n.roster.Admit(v, asked, func(name string) int64 { return n.Silence(now, name) }, MaxVoters)
+	next, ok := n.roster.Admit(v, asked, n.silences(now), MaxVoters)
 	if !ok {
 		return o
 	}
-	e, _ := s.seen(RosterKey)
-	if n.admitRoster(e, r.Bytes()) != nil {
-		return o
+	if grows && next.Seats > 0 {
+		next.Seats = max(next.Seats, uint16(len(next.Voters)))
 	}
-	o.Events = append(o.Events, fmt.Sprintf("admit=%s inc=%d step=%d voters=%d", v.Name, v.Inc, r.Step(), len(r.Voters)))
-	n.apply(now, i, s, Op{Kind: OpPut, Key: RosterKey, Val: r.Bytes(), Expect: e.Rev}, &o)
+	n.setRoster(now, next, fmt.Sprintf("admit=%s inc=%d", v.Name, v.Inc), &o)
 	return o
 }
 
+// shed takes the step that drops a voter whose successor was let in before it went.
+func (n *Node) shed(now int64, o *Out) {
+	if !n.roster.overfull() || !n.maySet(now) {
+		return
+	}
+	leaving := func(name string) bool {
+		at, told := n.leavers[name]
+		return told && now-at < n.p.Term
+	}
+	if next, ok := n.roster.Shed(leaving, n.silences(now)); ok {
+		n.setRoster(now, next, "shed", o)
+	}
+}
+
+// silences is Silence at one instant, as the rules of a roster want it.
+func (n *Node) silences(now int64) func(string) int64 {
+	return func(name string) int64 { return n.Silence(now, name) }
+}
+
+// maySet reports whether this node owns the roster's register and no step is under way.
+func (n *Node) maySet(now int64) bool {
+	s := n.slots[SlotOf(RosterKey, n.p.Slots)]
+	_, busy := s.pend[RosterKey]
+	return !busy && s.st == owning && now < s.ownUntil && !n.leaving
+}
+
+// setRoster starts a step, unless the one before is not firm yet.
+func (n *Node) setRoster(now int64, next Roster, why string, o *Out) {
+	i := SlotOf(RosterKey, n.p.Slots)
+	s := n.slots[i]
+	held, _ := s.seen(RosterKey)
+	if n.admitRoster(held, next.Bytes()) != nil {
+		return
+	}
+	o.Events = append(o.Events, fmt.Sprintf("%s step=%d voters=%d", why, next.Step(), len(next.Voters)))
+	n.apply(now, i, s, Op{Kind: OpPut, Key: RosterKey, Val: next.Bytes(), Expect: held.Rev}, o)
+}
+
+// HandingOver reports whether this node leaves and its seat is about to be dropped. It
+// votes until then, and may go without waiting: the rest takes the step all the same.
+func (n *Node) HandingOver() bool { return n.leaving && n.inRoster() && n.roster.overfull() }
+
 // asked is for how long a newcomer has been asking.
 func (n *Node) asked(now int64, inc uint64) int64 {
 	a, ok := n.asks[inc]
@@ -119,9 +165,12 @@
 			if w, ok := was.Find(v.Name); !ok || w.Inc != v.Inc {
 				n.came[v.Name] = now
 				delete(n.heard, v.Name)
+				delete(n.leavers, v.Name)
 			}
 		}
-		o.Roster = &r
+		if !n.leaving || n.inRoster() {
+			o.Roster = &r // one that leaves for good does not begin anew
+		}
 		o.Events = append(o.Events, fmt.Sprintf("roster=%d voters=%d in=%v", r.Step(), len(r.Voters), n.inRoster()))
 		for _, s := range n.slots {
 			if s.st == idle {
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -46,6 +46,7 @@
 	open    uint64           // the newest era heard of
 	heard   map[string]int64 // voters, when last
 	came    map[string]int64 // voters let in while this process runs, when
+	leavers map[string]int64 // voters that stop, when they last said so
 	asks    map[uint64]ask   // newcomers, by incarnation
 	listens int64            // since when this process runs without a pause
 	tickAt  int64
@@ -55,7 +56,7 @@
 
 // New makes a node at time now from the records its disk held.
 func New(p Plan, r Roster, now int64, recs []Rec) *Node {
-	n := &Node{p: p, roster: r, bootAt: now, heard: map[string]int64{}, came: map[string]int64{}, asks: map[uint64]ask{}, listens: now, tickAt: now}
+	n := &Node{p: p, roster: r, bootAt: now, heard: map[string]int64{}, came: map[string]int64{}, leavers: map[string]int64{}, asks: map[uint64]ask{}, listens: now, tickAt: now}
 	for i := 0; i < p.Slots; i++ {
 		n.slots = append(n.slots, &slot{ent: map[string]Entry{}})
 	}
--- a/quorum/recv.go
+++ b/quorum/recv.go
@@ -23,7 +23,7 @@
 		n.sendRoster(&o, m.From)
 		return o
 	}
-	if m.Kind != Beat && m.Kind != BeatOK && m.Kind != Yield && int(m.Slot) >= len(n.slots) {
+	if m.Kind != Beat && m.Kind != BeatOK && m.Kind != Yield && m.Kind != Leaving && int(m.Slot) >= len(n.slots) {
 		o.Events = append(o.Events, fmt.Sprintf("unheard=%s slot=%d", m.From, m.Slot))
 		return o
 	}
@@ -39,6 +39,8 @@
 				s.owner, s.heldUntil = "", now
 			}
 		}
+	case Leaving:
+		n.leavers[m.From] = now
 	case BeatOK:
 		n.onBeatOK(now, m, &o)
 	case Seek:
--- a/quorum/roster.go
+++ b/quorum/roster.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -21,6 +22,10 @@
 type Roster struct {
 	Rev    uint64  `json:"rev,string"`
 	Voters []Voter `json:"voters"`
+	// Seats is how many voters the fleet keeps. With more, one was let in before the
+	// one that it replaces had gone (Shed). 0, in a roster that knows no such count,
+	// never sheds.
+	Seats uint16 `json:"seats,omitempty"`
 }
 
 const stepBits = 20
@@ -48,10 +53,10 @@
 }
 
 // Next is the roster after one step: old goes (unless empty) and v comes (unless
-// nil). It fails unless every majority of one shares a voter with every majority
-// of the other.
+// nil), and the fleet keeps as many seats fewer or more. It fails unless every
+// majority of one shares a voter with every majority of the other.
 func (r Roster) Next(old string, v *Voter) (Roster, error) {
-	n := Roster{Rev: r.Rev + 1, Voters: slices.Clone(r.Voters)}
+	n := Roster{Rev: r.Rev + 1, Voters: slices.Clone(r.Voters), Seats: r.Seats}
 	if old != "" {
 		i := slices.IndexFunc(n.Voters, func(x Voter) bool { return x.Name == old })
 		if i < 0 {
@@ -67,6 +72,9 @@
 		x.Num = uint16(16 + n.Step())
 		n.Voters = append(n.Voters, x)
 	}
+	if r.Seats > 0 {
+		n.Seats = uint16(max(1, int(r.Seats)+len(n.Voters)-len(r.Voters)))
+	}
 	if err := step(r, n); err != nil {
 		return n, err
 	}
@@ -152,12 +160,53 @@
 	}
 	for _, come := range []*Voter{&v, nil} {
 		if n, err := r.Next(gone, come); err == nil {
+			n.Seats = r.Seats // a replacement, whoever goes for it
 			return n, true
 		}
 	}
 	return r, false
 }
 
+// overfull reports whether a voter was let in before the one that it replaces had gone,
+// and that one's seat costs a loss: an even roster needs as many voters as the odd one
+// above it. An odd roster keeps the majority that it has when a voter goes, so that a
+// dead one there costs nothing.
+func (r Roster) overfull() bool {
+	return r.Seats > 0 && len(r.Voters) > int(r.Seats) && len(r.Voters)%2 == 0
+}
+
+// Shed is the step that takes the seat of a voter whose successor was let in before,
+// if there is one to take now: of one that is leaving, else of the one silent longest
+// once it counts as gone. Enough must be heard that the rest decides without it.
+func (r Roster) Shed(leaving func(name string) bool, silence func(name string) int64) (Roster, bool) {
+	if !r.overfull() {
+		return r, false
+	}
+	gone, heard := "", 0
+	var worst int64
+	for _, voter := range r.Voters {
+		silent := silence(voter.Name)
+		if leaving(voter.Name) {
+			silent = math.MaxInt64
+		}
+		if silent < DoubtAfter {
+			heard++
+		}
+		if silent >= GoneAfter && silent > worst {
+			gone, worst = voter.Name, silent
+		}
+	}
+	if gone == "" {
+		return r, false
+	}
+	next, err := r.Next(gone, nil)
+	if err != nil || heard < next.Majority() {
+		return r, false
+	}
+	next.Seats = r.Seats
+	return next, true
+}
+
 // RosterKey is the register in which a roster's successor is settled.
 const RosterKey = "roster"
 
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -46,6 +46,7 @@
 	RosterAsk
 	RosterTell
 	Yield
+	Leaving
 )
 
 // Mark tells of one slot in a Beat or BeatOK.
--- a/schema/fb/desk_generated.go
+++ b/schema/fb/desk_generated.go
@@ -1177,6 +1177,7 @@
 	Inc    uint64    `json:"inc"`
 	Rev    uint64    `json:"rev"`
 	Voters []*VoterT `json:"voters"`
+	Seats  uint16    `json:"seats"`
 }
 
 func (t *FoundingT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -1201,6 +1202,7 @@
 	FoundingAddInc(builder, t.Inc)
 	FoundingAddRev(builder, t.Rev)
 	FoundingAddVoters(builder, votersOffset)
+	FoundingAddSeats(builder, t.Seats)
 	return FoundingEnd(builder)
 }
 
@@ -1215,6 +1217,7 @@
 		rcv.Voters(&x, j)
 		t.Voters[j] = x.UnPack()
 	}
+	t.Seats = rcv.Seats()
 }
 
 func (rcv *Founding) UnPack() *FoundingT {
@@ -1309,8 +1312,20 @@
 	return 0
 }
 
+func (rcv *Founding) Seats() uint16 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.GetUint16(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Founding) MutateSeats(n uint16) bool {
+	return rcv._tab.MutateUint16Slot(12, n)
+}
+
 func FoundingStart(builder *flatbuffers.Builder) {
-	builder.StartObject(4)
+	builder.StartObject(5)
 }
 func FoundingAddFleet(builder *flatbuffers.Builder, fleet uint64) {
 	builder.PrependUint64Slot(0, fleet, 0)
@@ -1327,6 +1342,9 @@
 func FoundingStartVotersVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func FoundingAddSeats(builder *flatbuffers.Builder, seats uint16) {
+	builder.PrependUint16Slot(4, seats, 0)
+}
 func FoundingEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
@@ -1336,6 +1354,7 @@
 	Addr  string `json:"addr"`
 	Inc   uint64 `json:"inc"`
 	Blank bool   `json:"blank"`
+	First bool   `json:"first"`
 }
 
 func (t *FoundAskT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -1349,6 +1368,7 @@
 	FoundAskAddAddr(builder, addrOffset)
 	FoundAskAddInc(builder, t.Inc)
 	FoundAskAddBlank(builder, t.Blank)
+	FoundAskAddFirst(builder, t.First)
 	return FoundAskEnd(builder)
 }
 
@@ -1357,6 +1377,7 @@
 	t.Addr = string(rcv.Addr())
 	t.Inc = rcv.Inc()
 	t.Blank = rcv.Blank()
+	t.First = rcv.First()
 }
 
 func (rcv *FoundAsk) UnPack() *FoundAskT {
@@ -1435,8 +1456,20 @@
 	return rcv._tab.MutateBoolSlot(10, n)
 }
 
+func (rcv *FoundAsk) First() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *FoundAsk) MutateFirst(n bool) bool {
+	return rcv._tab.MutateBoolSlot(12, n)
+}
+
 func FoundAskStart(builder *flatbuffers.Builder) {
-	builder.StartObject(4)
+	builder.StartObject(5)
 }
 func FoundAskAddName(builder *flatbuffers.Builder, name flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(name), 0)
@@ -1450,6 +1483,9 @@
 func FoundAskAddBlank(builder *flatbuffers.Builder, blank bool) {
 	builder.PrependBoolSlot(3, blank, false)
 }
+func FoundAskAddFirst(builder *flatbuffers.Builder, first bool) {
+	builder.PrependBoolSlot(4, first, false)
+}
 func FoundAskEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
