--- /dev/null
+++ b/scripts/days/main.go
@@ -0,0 +1,86 @@
+// Command days draws days of trouble for a deployment, to be played by the users'
+// bench, and tells in one line how one went (docs/hunts.md).
+//
+//	days draw SITE SEED FILE     the day of a seed, written to FILE
+//	days line NAME REPORT        one line on a report of the bench
+//	days kinds                   the kinds of trouble that are drawn, one a line
+//
+// Exit code 1 means that the day of a report failed, 2 that the command did.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+)
+
+const usage = "usage: days draw SITE SEED FILE | days line NAME REPORT | days kinds"
+
+// errDayFailed means that a rule broke or a gate was not passed.
+var errDayFailed = errors.New("the day failed")
+
+func main() {
+	err := run(os.Args[1:], os.Stdout)
+	switch {
+	case errors.Is(err, errDayFailed):
+		os.Exit(1)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "days:", err)
+		os.Exit(2)
+	}
+}
+
+func run(arguments []string, out io.Writer) error {
+	if len(arguments) == 0 {
+		return errors.New(usage)
+	}
+	verb, rest := arguments[0], arguments[1:]
+	switch {
+	case verb == "draw" && len(rest) == 3:
+		return drawFile(rest[0], rest[1], rest[2])
+	case verb == "line" && len(rest) == 2:
+		return printLine(out, rest[0], rest[1])
+	case verb == "kinds" && len(rest) == 0:
+		return printKinds(out)
+	}
+	return errors.New(usage)
+}
+
+func drawFile(sitePath, seedText, dayPath string) error {
+	seed, err := strconv.ParseUint(seedText, 10, 63)
+	if err != nil {
+		return fmt.Errorf("seed %q: give a whole number from 0 on", seedText)
+	}
+	s, err := readSite(sitePath)
+	if err != nil {
+		return err
+	}
+	return draw(s, seed).write(dayPath)
+}
+
+func printLine(out io.Writer, name, reportPath string) error {
+	r, err := readReport(reportPath)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(out, r.line(name)); err != nil {
+		return err
+	}
+	if !r.passed() {
+		return errDayFailed
+	}
+	return nil
+}
+
+func printKinds(out io.Writer) error {
+	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+		if _, err := fmt.Fprintln(out, kind); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scripts/days/site.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// engineModel is the model of a service whose servers are model engines.
+const engineModel = "llm"
+
+// site is what days need to know of a deployment's file.
+type site struct {
+	Name      string           `toml:"name"`
+	Contracts []string         `toml:"contracts"`
+	Zones     []named          `toml:"zones"`
+	Services  []service        `toml:"services"`
+	Classes   []named          `toml:"classes"`
+	Models    []named          `toml:"models"`
+	Traffic   []map[string]any `toml:"traffic"`
+	Days      []standardDay    `toml:"day"`
+}
+
+type named struct {
+	Name string `toml:"name"`
+}
+
+type service struct {
+	Name  string `toml:"name"`
+	Model string `toml:"model"`
+}
+
+// standardDay is one of the site's own days; its marks are taken over.
+type standardDay struct {
+	Slot string  `toml:"slot"`
+	One  float64 `toml:"one"`
+	Zero float64 `toml:"zero"`
+}
+
+var errNoEngines = errors.New("no service with model \"" + engineModel + "\": give a site file whose services include engines")
+
+// readSite reads a deployment's file.
+func readSite(path string) (site, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return site{}, err
+	}
+	var s site
+	if err := toml.Unmarshal(text, &s); err != nil {
+		return site{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := s.check(); err != nil {
+		return site{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (s site) check() error {
+	switch {
+	case len(s.servicesOf(true)) == 0:
+		return errNoEngines
+	case len(s.Zones) == 0 || len(s.Classes) == 0 || len(s.Traffic) == 0 || len(s.Days) == 0:
+		return errors.New("zones, classes, traffic and at least one [[day]] are needed")
+	}
+	return nil
+}
+
+// servicesOf lists the services that are engines, or those that are not.
+func (s site) servicesOf(engines bool) []string {
+	var out []string
+	for _, one := range s.Services {
+		if (one.Model == engineModel) == engines {
+			out = append(out, one.Name)
+		}
+	}
+	return out
+}
+
+// marks are those of the first day of trouble, or of the first day.
+func (s site) marks() standardDay {
+	for _, day := range s.Days {
+		if day.Slot == "trouble" {
+			return day
+		}
+	}
+	return s.Days[0]
+}
