--- a/scripts/days/draw.go
+++ b/scripts/days/draw.go
@@ -34,6 +34,7 @@
 	{"disks", [2]float64{45, 60}, [2]float64{0.3, 0.7}, fillDisks},
 	{"power", [2]float64{50, 65}, [2]float64{0.3, 0.5}, fillPower},
 	{"freezes", [2]float64{50, 65}, [2]float64{0.3, 0.7}, fillFreezes},
+	{"closings", [2]float64{10, 16}, [2]float64{0.3, 0.5}, fillClosings},
 	{"mix", [2]float64{45, 75}, [2]float64{0.5, 1}, fillMix},
 }
 
@@ -83,6 +84,21 @@
 	return out
 }
 
+// slowerDisks gives the day's machines disks that take so long for a sync: what was not
+// synced before it was acknowledged is then still on its way when power goes.
+func (d *draft) slowerDisks(low, high float64) {
+	syncMS := math.Round(d.between(low, high))
+	for _, one := range d.site.Machines {
+		changed := maps.Clone(one)
+		if disk, ok := one["disk"].(map[string]any); ok {
+			slower := maps.Clone(disk)
+			slower["sync_ms"] = syncMS
+			changed["disk"] = slower
+		}
+		d.Machines = append(d.Machines, changed)
+	}
+}
+
 func hundredth(x float64) float64 { return math.Round(x*100) / 100 }
 
 func (d *draft) between(low, high float64) float64 {
--- a/scripts/days/main_test.go
+++ b/scripts/days/main_test.go
@@ -21,6 +21,7 @@
 services = [{ name = "models", model = "llm" }, { name = "store", model = "kvstore" }]
 classes = [{ name = "short" }, { name = "long" }]
 models = [{ name = "m0" }]
+machines = [{ class = "front", count = 3 }, { class = "core", count = 4, disk = { mb = 128, sync_ms = 2 } }]
 traffic = [{ zone = "east", per_s = 40.0, clients = 5, shape = { kind = "wave", swing = 0.1 } }, { zone = "west", per_s = 10 }]
 [[day]]
 slot = "quiet"
@@ -33,7 +34,7 @@
 `
 
 // manySeeds is enough for every theme to come some thirty times.
-const manySeeds = 270
+const manySeeds = 300
 
 func testSite(t *testing.T) (site, string) {
 	t.Helper()
@@ -67,7 +68,7 @@
 		t.Error("one seed gave two days")
 	}
 	s, _ := testSite(t)
-	if draw(s, 17).Traffic[0]["per_s"] == draw(s, 26).Traffic[0]["per_s"] {
+	if draw(s, 17).Traffic[0]["per_s"] == draw(s, 27).Traffic[0]["per_s"] {
 		t.Error("two seeds of one theme gave the same traffic")
 	}
 }
@@ -177,6 +178,31 @@
 	}
 }
 
+func TestSlowerDisks(t *testing.T) {
+	s, _ := testSite(t)
+	slower := 0
+	for seed := range uint64(manySeeds) {
+		drawn := draw(s, seed)
+		if len(drawn.Machines) == 0 {
+			continue
+		}
+		slower++
+		if len(drawn.Machines) != len(s.Machines) || drawn.Machines[0]["disk"] != nil {
+			t.Fatalf("seed %d: other machines than the site's: %v", seed, drawn.Machines)
+		}
+		disk := drawn.Machines[1]["disk"].(map[string]any)
+		if sync := disk["sync_ms"].(float64); sync < 10 || sync > 60 || disk["mb"] != int64(128) {
+			t.Errorf("seed %d: a disk %v", seed, disk)
+		}
+	}
+	if slower == 0 || slower == manySeeds {
+		t.Errorf("%d of %d days with slower disks", slower, manySeeds)
+	}
+	if disk := s.Machines[1]["disk"].(map[string]any); disk["sync_ms"] != int64(2) {
+		t.Error("the site's own disks changed")
+	}
+}
+
 func TestMarksOfTrouble(t *testing.T) {
 	s, _ := testSite(t)
 	if got := s.marks(); got.One != 0.7 || got.Zero != 0.3 {
--- a/scripts/days/site.go
+++ b/scripts/days/site.go
@@ -19,6 +19,7 @@
 	Services  []service        `toml:"services"`
 	Classes   []named          `toml:"classes"`
 	Models    []named          `toml:"models"`
+	Machines  []map[string]any `toml:"machines"`
 	Traffic   []map[string]any `toml:"traffic"`
 	Days      []standardDay    `toml:"day"`
 }
--- a/scripts/days/themes.go
+++ b/scripts/days/themes.go
@@ -19,12 +19,20 @@
 		one.Kind, one.At, one.ForS = "core_cut", hundredth(at), cutS
 		d.put(one)
 	}
+	d.longNodeCut()
 	for range d.upTo(3) {
 		d.add(d.pickKind("node_cut", "reset_conns", "hup", "bad_config", "config_race"), d.moment())
 	}
 	d.close()
 }
 
+// longNodeCut cuts some of the machines that carry the traffic off from the core for
+// longer than a key that was taken away may work.
+func (d *draft) longNodeCut() {
+	forS := d.between(9, 18)
+	d.put(entry{Kind: "node_cut", At: d.between(4, d.LengthS-tailS-forS), Share: d.between(0.1, 0.3), ForS: forS})
+}
+
 // fillRaces: operators race, and many acknowledgements get lost, while those that
 // acknowledge go down.
 func fillRaces(d *draft) {
@@ -49,6 +57,9 @@
 	for at := d.between(4, 8); at < d.LengthS-tailS; at += d.between(4, 9) {
 		d.add(d.pickKind("replace_core", "replace_core", "replace_core", "after_ack_wipe", "herd_kill"), hundredth(at))
 	}
+	if d.chance(0.5) {
+		d.slowerDisks(10, 50)
+	}
 	for range d.upTo(2) {
 		d.add(d.pickKind("seed_turnover", "version_bump", "config_race", "big_config", "roll_term"), d.moment())
 	}
@@ -99,9 +110,26 @@
 		d.put(entry{Kind: "herd_kill", At: hundredth(at), On: core, ForS: d.between(0.5, 1.2),
 			How: how(d.pick("power", "power", "power", ""), d.after())})
 	}
+	if d.chance(0.7) {
+		d.slowerDisks(10, 50)
+	}
 	d.close("power_off_all", "power_off_all", "wipe_after_ack")
 }
 
+// fillClosings: a short day whose closing fault strikes at an acknowledgement while
+// slow disks still sync what was just written.
+func fillClosings(d *draft) {
+	d.storm(0.02, 0.2)
+	d.slowerDisks(10, 60)
+	if d.chance(0.5) {
+		d.add("version_bump", d.between(2, 2.5))
+	}
+	d.Closing = &closing{Kind: "wipe_after_ack", DownS: d.between(0.5, 1.6), How: "aimed"}
+	if d.chance(0.4) {
+		d.Closing.Kind, d.Closing.How = "power_off_all", ""
+	}
+}
+
 // fillFreezes: machines stand still, turn slow or are cut off and come back past every
 // lease, while configurations, keys and weights change.
 func fillFreezes(d *draft) {
@@ -117,6 +145,7 @@
 		}
 		d.put(one)
 	}
+	d.longNodeCut()
 	for range 2 + d.upTo(3) {
 		d.add(d.pickKind("node_cut", "reset_conns", "node_slow", "hup", "clock_step", "core_cut"), d.moment())
 	}
