--- a/scripts/days/kinds.go
+++ b/scripts/days/kinds.go
@@ -133,8 +133,8 @@
 }
 
 func drawGarble(d *draft) entry {
-	return entry{Share: d.between(0.4, 0.8), X: d.between(0.01, 0.05), ForS: d.between(3, 8),
-		How: d.pick("", "extra", "extra", "extra late"), Service: d.engines()}
+	return entry{Share: d.between(0.4, 0.95), X: d.between(0.02, 0.3), ForS: d.between(4, 9),
+		How: d.pick("", "extra", "extra late", "extra late"), Service: d.engines()}
 }
 
 func drawHerdKill(d *draft) entry {
