--- a/internal/app/proxy/follow.go
+++ b/internal/app/proxy/follow.go
@@ -119,8 +119,8 @@
 	return now - v.at
 }
 
-// far is a directory node as this proxy knows it.
-type far struct {
+// directoryNode is a directory node as this proxy knows it.
+type directoryNode struct {
 	site        string // once it has said so
 	badAt       int64
 	staleListAt int64 // when its list of engines was seen to be old
@@ -130,18 +130,24 @@
 // its own site first, and goes on to the next when one fails or falls behind.
 type follower struct {
 	c         *carrier
-	fars      map[string]*far
-	cur       string
+	nodes      map[string]*directoryNode
+	current       string
 	inc, have uint64
-	seenMap   uint64
+	mapRev   uint64
 	newsInc   uint64
-	newsAt    uint64
+	newsNext    uint64
 }
 
-func (f *follower) run(ctx context.Context) {
-	for _, a := range f.c.s.Seeds {
-		f.fars[a] = &far{}
+// newFollower makes one that starts from the seeds.
+func newFollower(c *carrier) *follower {
+	f := &follower{c: c, nodes: map[string]*directoryNode{}}
+	for _, addr := range c.s.Seeds {
+		f.nodes[addr] = &directoryNode{}
 	}
+	return f
+}
+
+func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !f.ask(ctx) && !taskgroup.Pause(ctx, 30_000) {
 			return
@@ -152,11 +158,11 @@
 // order lists the nodes to ask, the best one first.
 func (f *follower) order(now int64) []string {
 	var l []string
-	for a := range f.fars {
+	for a := range f.nodes {
 		l = append(l, a)
 	}
 	rank := func(a string) (n int) {
-		x := f.fars[a]
+		x := f.nodes[a]
 		if x.badAt > 0 && now-x.badAt < unusedFor {
 			n += 4
 		}
@@ -170,7 +176,7 @@
 		default:
 			n += 2
 		}
-		if a == f.cur {
+		if a == f.current {
 			n--
 		}
 		return n
@@ -192,28 +198,28 @@
 	}
 	a := l[0]
 	hold := int64(followHold)
-	if f.c.view.Load().table == nil || f.fars[a].site == "" {
+	if f.c.view.Load().table == nil || f.nodes[a].site == "" {
 		hold = 0
 	}
-	q := &fb.MapAskT{Node: f.c.self(), Inc: f.inc, Have: f.have, Map: f.seenMap, NewsInc: f.newsInc, NewsSince: f.newsAt, Hold: hold, Loads: f.c.loads()}
+	q := &fb.MapAskT{Node: f.c.self(), Inc: f.inc, Have: f.have, Map: f.mapRev, NewsInc: f.newsInc, NewsSince: f.newsNext, Hold: hold, Loads: f.c.loads()}
 	r, err := f.c.book.At(a).Call(ctx, &fb.FrameT{MapAsk: q}, hold+followPatient)
 	if ctx.Err() != nil {
 		return false
 	}
-	x := f.fars[a]
+	x := f.nodes[a]
 	if err != nil || r.MapTell == nil {
 		x.badAt = clock.Now()
-		if f.cur == a {
+		if f.current == a {
 			f.c.d.Log.Info("directory_lost", "directory", a)
-			f.cur = ""
+			f.current = ""
 		}
 		return len(l) > 1
 	}
 	t := r.MapTell
 	x.site, x.badAt = t.Site, 0
-	if f.cur != a {
+	if f.current != a {
 		f.c.d.Log.Info("directory", "directory", a, "site", t.Site)
-		f.cur = a
+		f.current = a
 	}
 	// The answer left the node no sooner than it had held the question.
 	f.take(t, now+t.Held)
@@ -235,13 +241,13 @@
 		return
 	}
 	for _, v := range voters {
-		if f.fars[v] == nil {
-			f.fars[v] = &far{}
+		if f.nodes[v] == nil {
+			f.nodes[v] = &directoryNode{}
 		}
 	}
-	for a := range f.fars {
+	for a := range f.nodes {
 		if !slices.Contains(voters, a) && !slices.Contains(f.c.s.Seeds, a) {
-			delete(f.fars, a)
+			delete(f.nodes, a)
 		}
 	}
 }
@@ -252,7 +258,7 @@
 	v := *c.view.Load()
 	engines, use := v.hear(t, at)
 	if t.Inc != f.inc {
-		f.inc, f.seenMap = t.Inc, 0
+		f.inc, f.mapRev = t.Inc, 0
 	}
 	if t.Known && t.Rev >= v.rev {
 		if t.Rev > v.rev && len(t.Config) > 0 {
@@ -268,7 +274,7 @@
 	f.have = v.rev
 	c.view.Store(&v)
 	if t.Whole {
-		f.seenMap = t.Map
+		f.mapRev = t.Map
 	}
 	if use {
 		c.takeMap(engines, v.table)
@@ -296,7 +302,7 @@
 
 func (f *follower) news(t *fb.MapTellT) {
 	h := f.c.hints
-	f.newsInc, f.newsAt = t.NewsInc, t.NewsNext
+	f.newsInc, f.newsNext = t.NewsInc, t.NewsNext
 	f.c.hintMu.Lock()
 	defer f.c.hintMu.Unlock()
 	if t.NewsReset {
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -78,7 +78,7 @@
 	c.pick = placement.New(s.Site, c.hints)
 	c.window, c.allow = map[string]*attempt.Window{}, 1
 	c.view.Store(&view{})
-	f := &follower{c: c, fars: map[string]*far{}}
+	f := newFollower(c)
 	d.Group.Go("follow", f.run)
 	d.Group.Go("ready", func(ctx context.Context) { taskgroup.Every(ctx, clock.Micros(40_000), c.watch) })
 	d.Group.Go("sweep", func(ctx context.Context) {
