A proxy forgets no control node by the word of one that is cut off

Cause, found by reading: a cut-off node tells the roster it knows; a proxy that follows it dropped the address of whoever had joined since, and could be left with dead ones. Change: addresses are dropped only by the word of a node in touch. Measured: TestOldRosterForgetsNobody fails without the condition, passes with it.

--- a/internal/app/proxy/follow.go
+++ b/internal/app/proxy/follow.go
@@ -130,12 +130,12 @@
 // its own site first, and goes on to the next when one fails or falls behind.
 type follower struct {
 	c         *carrier
-	nodes      map[string]*directoryNode
-	current       string
+	nodes     map[string]*directoryNode
+	current   string
 	inc, have uint64
-	mapRev   uint64
+	mapRev    uint64
 	newsInc   uint64
-	newsNext    uint64
+	newsNext  uint64
 }
 
 // newFollower makes one that starts from the seeds.
@@ -229,14 +229,16 @@
 	if t.ListAge > staleList && now-x.staleListAt > staleListAgain {
 		x.staleListAt = clock.Now()
 	}
-	f.learn(t.Voters)
+	f.learn(t.Voters, !behind(t))
 	if !t.Known {
 		return false
 	}
 	return true
 }
 
-func (f *follower) learn(voters []string) {
+// learn takes in which control nodes there are. Only a node that is in touch is believed
+// that others have gone: one that is cut off may know an old roster.
+func (f *follower) learn(voters []string, inTouch bool) {
 	if len(voters) == 0 {
 		return
 	}
@@ -246,7 +248,7 @@
 		}
 	}
 	for a := range f.nodes {
-		if !slices.Contains(voters, a) && !slices.Contains(f.c.s.Seeds, a) {
+		if inTouch && !slices.Contains(voters, a) && !slices.Contains(f.c.s.Seeds, a) {
 			delete(f.nodes, a)
 		}
 	}
--- a/internal/app/proxy/follow_test.go
+++ b/internal/app/proxy/follow_test.go
@@ -105,3 +105,17 @@
 		}
 	}
 }
+
+// A node that is cut off knows an old roster: who came since is not forgotten by its word.
+func TestOldRosterForgetsNobody(t *testing.T) {
+	f := newFollower(&carrier{s: Settings{Seeds: []string{"a"}}})
+	f.learn([]string{"b", "c"}, true)
+	f.learn([]string{"a", "d"}, false)
+	if len(f.nodes) != 4 {
+		t.Errorf("%d nodes are known, not 4", len(f.nodes))
+	}
+	f.learn([]string{"b", "d"}, true)
+	if f.nodes["c"] != nil || len(f.nodes) != 3 {
+		t.Errorf("c has gone, and %d nodes are known", len(f.nodes))
+	}
+}
