A later attempt looks anew at which weights may be begun; tests of the configuration's way

Cause, found by reading: the oldest version that a request may begin on was worked out when it came. An attempt that followed a lost one, or took a stream up again, could begin seconds later on weights that were out of date by then. Change: it is worked out at each choice (carrier.leastVersion). TestLaterAttemptOnNewerWeights fails without, passes with it.

view.hearConfig is what follower.take did, apart; TestConfigurationNeverGoesBack covers what docs/bounds.md had no test for.

--- a/internal/app/proxy/admission.go
+++ b/internal/app/proxy/admission.go
@@ -107,7 +107,7 @@
 // prepare sets a request's deadline, what may be repeated of it, and what it asks of
 // placement.
 func (p *passage) prepare(arrived int64) {
-	c, now := p.c, clock.Now()
+	c := p.c
 	p.deadline = arrived + timeoutOf(p.ask, p.route)
 	resumable := p.route.Kind == route.Stream && p.route.Resumable
 	p.ledger = attempt.Passage{Again: resumable || p.route.Kind == route.Repeatable, Resume: resumable, Most: max(1, p.route.Attempts)}
@@ -122,12 +122,11 @@
 		Tokens: p.ask.Tokens,
 		Out:    p.ask.Out,
 		Wall:   p.view.table.Wall(tenant),
-		Least:  p.view.least(now, p.ask.Model, c.s.Bounds.VersionApplyUS-versionSlackUS),
 		Tried:  map[string]bool{},
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.budget(p.placing.Pool).Earn(now)
+	c.budget(p.placing.Pool).Earn(clock.Now())
 }
 
 // timeoutOf is the shorter of what the caller waits and what the route allows.
--- a/internal/app/proxy/follow.go
+++ b/internal/app/proxy/follow.go
@@ -62,6 +62,11 @@
 	return v.named.Oldest(now, model, within)
 }
 
+// leastVersion is the oldest version of a model that an attempt may begin on now.
+func (c *carrier) leastVersion(now int64, model string) uint64 {
+	return c.view.Load().least(now, model, c.s.Bounds.VersionApplyUS-versionSlackUS)
+}
+
 // hear takes in what a node says of the fleet's state, which left it no sooner than at.
 // It returns the map to be used from now on, if there is another one.
 func (v *view) hear(t *fb.MapTellT, at int64) (engines []*fb.MapEngineT, use bool) {
@@ -82,6 +87,24 @@
 	return v.hearMap(t.Inc, at, t.ListAge)
 }
 
+// hearConfig takes in the configuration that a node told, and returns whether it is
+// another one. A revision never goes back within a life; an age counts only for the
+// revision in use.
+func (v *view) hearConfig(t *fb.MapTellT, at int64, parse func(text []byte, rev uint64) *route.Table) (changed bool) {
+	if !t.Known || t.Rev < v.rev {
+		return false
+	}
+	if t.Rev > v.rev && len(t.Config) > 0 {
+		if table := parse(t.Config, t.Rev); table != nil {
+			v.table, v.rev, changed = table, t.Rev, true
+		}
+	}
+	if t.Rev == v.rev {
+		v.known, v.at = true, max(v.at, at-t.Age)
+	}
+	return changed
+}
+
 // hearMap takes in how old the list in a node's newest map is, and returns that map if it
 // is to be used from now on: at once if its list is not older than that of the map in
 // use, else once the node has looked at the platform's list again. A node that has just
@@ -262,16 +285,8 @@
 	if t.Inc != f.inc {
 		f.inc, f.mapRev = t.Inc, 0
 	}
-	if t.Known && t.Rev >= v.rev {
-		if t.Rev > v.rev && len(t.Config) > 0 {
-			if tab := c.door.Config(t.Config, t.Rev); tab != nil {
-				v.table, v.rev = tab, t.Rev
-				c.d.Log.Info("config", "rev", t.Rev, "version", tab.Version, "age_us", t.Age)
-			}
-		}
-		if t.Rev == v.rev {
-			v.known, v.at = true, max(v.at, at-t.Age)
-		}
+	if v.hearConfig(t, at, c.door.Config) {
+		c.d.Log.Info("config", "rev", t.Rev, "version", v.table.Version, "age_us", t.Age)
 	}
 	f.have = v.rev
 	c.view.Store(&v)
--- a/internal/app/proxy/follow_test.go
+++ b/internal/app/proxy/follow_test.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"errors"
 	"testing"
 
 	frames "violetthread/internal/wire"
+	"violetthread/placement"
+	"violetthread/route"
 	"violetthread/schema/fb"
 )
 
@@ -119,3 +122,59 @@
 		t.Errorf("c has gone, and %d nodes are known", len(f.nodes))
 	}
 }
+
+// A configuration never goes back, and none is taken for fresh by what is known of another.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	const damaged = "damaged"
+	parse := func(text []byte, rev uint64) *route.Table {
+		if string(text) == damaged {
+			return nil
+		}
+		return route.Compile(route.Config{}, rev)
+	}
+	v := &view{}
+	for i, s := range []struct {
+		rev      uint64
+		text     string
+		known    bool
+		at, age  int64
+		wantRev  uint64
+		wantFrom int64 // when it was last known to be in force
+	}{
+		{0, "", false, 9 * second, 0, 0, 0},                         // a node that knows nothing
+		{7, "seven", true, 10 * second, second, 7, 9 * second},      // the first one
+		{7, "", true, 11 * second, 0, 7, 11 * second},               // it stands
+		{7, "", true, 12 * second, 5 * second, 7, 11 * second},      // a node that is cut off
+		{5, "five", true, 13 * second, 0, 7, 11 * second},           // one that knows an older one
+		{9, damaged, true, 14 * second, 0, 7, 11 * second},          // what can't be read is not in use
+		{9, "", true, 15 * second, 0, 7, 11 * second},               // its text did not come along
+		{9, "nine", true, 16 * second, 20 * second, 9, 11 * second}, // news that is old
+		{9, "", true, 17 * second, 300_000, 9, 17*second - 300_000}, // and fresh again
+		{8, "eight", true, 18 * second, 0, 9, 17*second - 300_000},  // another node's older one
+		{9, "", false, 19 * second, 0, 9, 17*second - 300_000},      // a node that just started
+	} {
+		told := &fb.MapTellT{Known: s.known, Rev: s.rev, Config: []byte(s.text), Age: s.age}
+		v.hearConfig(told, s.at, parse)
+		if v.rev != s.wantRev || v.at != s.wantFrom {
+			t.Fatalf("step %d: revision %d in force at %d, want %d at %d", i, v.rev, v.at, s.wantRev, s.wantFrom)
+		}
+	}
+}
+
+// A request that is sent on again begins later: by then its weights may be out of date.
+func TestLaterAttemptOnNewerWeights(t *testing.T) {
+	const named = 100 * second
+	u := NewUnattached(t, "127.0.0.1:0", nil, route.Compile(route.Config{}, 1))
+	u.SetEngines(&placement.Engine{ID: "old", Pool: "p", Addr: "127.0.0.1:1", Weights: map[string]uint64{"m": 1}})
+	v := *u.c.view.Load()
+	v.hear(told(1, 0, "old", 0, 1), named)
+	u.c.view.Store(&v)
+	p := &passage{c: u.c, ask: Ask{Model: "m"}, placing: placement.Request{Pool: "p", Model: "m", Tried: map[string]bool{}}}
+	within := u.c.s.Bounds.VersionApplyUS
+	if _, err := p.choose(named+within/2, false); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.choose(named+within, true); !errors.Is(err, errNoEngine) {
+		t.Fatalf("an engine with older weights was chosen at the bound: %v", err)
+	}
+}
--- a/internal/app/proxy/passage.go
+++ b/internal/app/proxy/passage.go
@@ -152,6 +152,8 @@
 	if retry && !budget.Has(now) {
 		return placement.Choice{}, errRetryBudget
 	}
+	// A later attempt begins later: weights may have gone out of date since the first.
+	p.placing.Least = c.leastVersion(now, p.ask.Model)
 	choice, ok := c.pick.Pick(now, &p.placing)
 	if !ok {
 		return choice, errNoEngine
