--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -3,8 +3,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"hash/crc32"
 	"io"
+	"slices"
 
 	flatbuffers "github.com/google/flatbuffers/go"
 	"github.com/gravitational/trace"
@@ -48,8 +50,8 @@
 	if n > MaxFrame {
 		return nil, trace.LimitExceeded("a frame of %d bytes is over %d; this is no wire of ours", n, MaxFrame)
 	}
-	d := make([]byte, n)
-	if _, err := io.ReadFull(r, d); err != nil {
+	d, err := readBody(r, int(n))
+	if err != nil {
 		return nil, err
 	}
 	if crc32.Checksum(d, castagnoli) != binary.LittleEndian.Uint32(h[4:]) {
@@ -58,6 +60,27 @@
 	return Decode(d)
 }
 
+// bodyStep is how much memory a frame's body gets before any of it has come; then it gets
+// as much again as came.
+const bodyStep = 64 << 10
+
+// readBody reads n bytes, and takes no memory for bytes that do not come.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	body := make([]byte, 0, min(n, bodyStep))
+	for len(body) < n {
+		body = slices.Grow(body, min(n-len(body), max(len(body), bodyStep)))
+		came := len(body)
+		body = body[:min(n, cap(body))]
+		if _, err := io.ReadFull(r, body[came:]); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF // within a frame
+			}
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 func ver(v quorum.Ver) *fb.VerT {
 	if v == (quorum.Ver{}) {
 		return nil
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"io"
 	"math/rand"
 	"reflect"
+	"runtime"
+	"strings"
 	"testing"
+	"testing/iotest"
 
 	"violetthread/quorum"
 	"violetthread/schema/fb"
@@ -97,3 +102,58 @@
 		}
 	})
 }
+
+// TestLengthCostsNothing: a length that nothing follows takes no memory, whatever it says.
+func TestLengthCostsNothing(t *testing.T) {
+	b := binary.LittleEndian.AppendUint32(nil, MaxFrame)
+	b = append(b, 1, 2, 3, 4, 5)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 10 {
+		if _, err := Read(bytes.NewReader(b)); err == nil {
+			t.Fatal("a frame of 1 byte passed for one of 32 MiB")
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > MaxFrame {
+		t.Fatalf("%d bytes were allocated for frames of which one byte came", n)
+	}
+}
+
+// TestTornFrame: a frame that ends at any byte is an error, and one that was begun is not
+// taken for an end between frames.
+func TestTornFrame(t *testing.T) {
+	whole := Encode(samples()[0])
+	for n := range whole {
+		_, err := Read(bytes.NewReader(whole[:n]))
+		if err == nil || n > 0 && err == io.EOF {
+			t.Errorf("after %d of %d bytes: %v", n, len(whole), err)
+		}
+	}
+	large := Encode(&fb.FrameT{RoomTell: &fb.RoomTellT{Custodian: strings.Repeat("x", 3<<20)}})
+	f, err := Read(iotest.OneByteReader(bytes.NewReader(large)))
+	if err != nil || len(f.RoomTell.Custodian) != 3<<20 {
+		t.Fatalf("a frame that comes byte by byte: %v", err)
+	}
+}
+
+// FuzzRead: no bytes make reading panic, and a frame that was read is one that can be
+// written and read again.
+func FuzzRead(f *testing.F) {
+	for _, s := range samples() {
+		f.Add(Encode(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		x, err := Read(bytes.NewReader(b))
+		if err != nil {
+			return
+		}
+		y, err := Read(bytes.NewReader(Encode(x)))
+		if err != nil || !bytes.Equal(Encode(x), Encode(y)) {
+			t.Fatalf("%+v became %+v, %v", x, y, err)
+		}
+		if x.Settle != nil {
+			_ = Settle(Unsettle(x.Settle))
+		}
+	})
+}
