quorum: small-scope exploration of registers and roster; histories checked by porcupine

Ruled out: cloning nodes that wait for a sync (closures): they are replayed from the last state that did not wait.

--- /dev/null
+++ b/quorum/explore_kept_test.go
@@ -0,0 +1,57 @@
+package quorum
+
+import "testing"
+
+// TestKeptTraces plays the shortest courses that break a rule once a safeguard is taken
+// out. All were found by the explorer, or written down for what it rarely draws.
+func TestKeptTraces(t *testing.T) {
+	for _, c := range []struct {
+		safeguard string // as scripts/weaken names it
+		config    config
+		trace     string
+	}{
+		{"acknowledged before the sync", three,
+			"tick 1; power a 1; tick 3; put b 1; stall b; put b 0; tick 1; power b 1; start b; start a; tick 5"},
+		{"no grace after a start", three,
+			"tick 4; cut b c; cut c b; tick 5; step 4; kill a; start a; tick 4"},
+		{"no hold for the live owner", three,
+			"isolate c; heal c a; heal a c; tick 6"},
+		{"old lines count as well", three,
+			"tick 4; isolate b; claim b 1; tick 5; power a 2; start a; heal-all; tick 5"},
+		{"doubts are kept when a line is joined", three,
+			"tick 4; put b 0; power c 0; kill b; kill a; tick 1; start c; start a; tick 1; start b; tick 4"},
+		{"renewed duties are forgotten at takeover", three,
+			"tick 4; duty b 0; tick 1; leave b; tick 3; duty a 1; duty c 1; tick 1"},
+		{"reads without a live lease", three,
+			"tick 4; put b 0; tick 1; freeze b; tick 8; put a 0; put c 0; tick 1; thaw b; get b 0"},
+		{"a promise is not recorded", three,
+			"tick 4; hold b a; tick 2; kill b; tick 5; put a 0; power c 0; tick 1; start c; start b; power a 0; tick 8; start a; put b 0; heal-all; tick 6"},
+		{"lease counted from the answer", three,
+			"tick 3; power b 0; start b; tick 5; freeze a; tick 7; put c 0; tick 1; thaw a; tick 1"},
+		{"served before a majority joined", three,
+			"tick 4; cut b a; cut b c; put b 0; step 1; kill b; heal-all; start b; isolate c; tick 3; step 1; stall a; tick 2; power a 0; kill b; start a; heal-all; tick 14"},
+		{"a step before every slot is firm", threeOfFive,
+			"tick 5; cut b a; cut a b; put b 0; tick 1; kill b; heal-all; start d; roster c 512; tick 4; start e; roster c 1026; tick 2; heal-all; isolate c; tick 12"},
+		{"any change of the roster is a step", threeOfFive,
+			"tick 5; roster c 3582; tick 2"},
+		{"claims are forgotten at takeover", three,
+			"tick 4; claim b 1; tick 1; leave b; tick 3; claim a 1"},
+		{"a floor is trusted before it is beyond doubt", withEras,
+			"tick 10; claim b 2; tick 4; power b 0; start b; tick 1"},
+	} {
+		t.Run(c.safeguard, func(t *testing.T) {
+			if w := play(c.config, readTrace(c.trace)); w.judge.wrong != "" {
+				t.Fatal(w.judge.wrong)
+			}
+		})
+	}
+}
+
+// TestCatchUpInParts: a key that changes again while a voter catches up in parts is not
+// left out of what the voter then claims to hold.
+func TestCatchUpInParts(t *testing.T) {
+	w := play(inParts, readTrace("tick 4; power a 2; put b 1; isolate c; start a; put b 0; duty b 0; put b 1; heal-all; tick 1; isolate b; tick 5"))
+	if w.judge.wrong != "" {
+		t.Fatal(w.judge.wrong)
+	}
+}
--- /dev/null
+++ b/quorum/explore_trace_test.go
@@ -0,0 +1,279 @@
+package quorum
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// action is one choice of the explorer. A trace of actions replays alike; an action that
+// does not apply where it stands does nothing, so that a trace may be shortened freely.
+type action struct {
+	verb verb
+	a, b int // machines, a register, or a count
+}
+
+// verb names an action; the words are those of a kept trace.
+type verb string
+
+const (
+	doTick       verb = "tick"       // all that is due, then a tick of every node; A times
+	doStep       verb = "step"       // the one thing that is due next; A times
+	doPut        verb = "put"        // a client changes register B at A
+	doGet        verb = "get"        // a client reads register B at A
+	doClaim      verb = "claim"      // a client claims for era B at A
+	doDuty       verb = "duty"       // client B asks A for the duty
+	doKill       verb = "kill"       // A's process ends; its records reach the disk
+	doPower      verb = "power"      // A's machine loses its power, and the records not synced but B
+	doStart      verb = "start"      // A boots
+	doWipe       verb = "wipe"       // A's disk is lost
+	doCheckpoint verb = "checkpoint" // A's disk is restated by a checkpoint
+	doFreeze     verb = "freeze"     // A stands still
+	doThaw       verb = "thaw"       // A goes on
+	doStall      verb = "stall"      // A's disk syncs nothing
+	doFlow       verb = "flow"       // A's disk syncs again
+	doCut        verb = "cut"        // what A sends to B is lost
+	doHold       verb = "hold"       // what A sends to B stays on its way
+	doHeal       verb = "heal"       // the wire from A to B is whole
+	doIsolate    verb = "isolate"    // A is cut off both ways
+	doHealAll    verb = "heal-all"   // all wires are whole
+	doDrop       verb = "drop"       // the message due next is lost
+	doRepeat     verb = "repeat"     // the message due next comes again later
+	doPostpone   verb = "postpone"   // the message due next comes after all others
+	doLeave      verb = "leave"      // A leaves politely
+	doRoster     verb = "roster"     // an operator asks A for step B of the roster
+)
+
+// oneMachine, twoMachines: what an action's numbers name, for reading and writing.
+var operands = map[verb]string{
+	doTick: "n", doStep: "n", doPut: "mn", doGet: "mn", doClaim: "mn", doDuty: "mn", doKill: "m", doPower: "mn",
+	doStart: "m", doWipe: "m", doCheckpoint: "m", doFreeze: "m", doThaw: "m", doStall: "m", doFlow: "m",
+	doCut: "mm", doHold: "mm", doHeal: "mm", doIsolate: "m", doHealAll: "", doDrop: "", doRepeat: "",
+	doPostpone: "", doLeave: "m", doRoster: "mn",
+}
+
+func (x action) String() string {
+	s := string(x.verb)
+	for i, kind := range operands[x.verb] {
+		v := x.a
+		if i == 1 {
+			v = x.b
+		}
+		if kind == 'm' {
+			s += " " + string(rune('a'+v))
+		} else {
+			s += " " + strconv.Itoa(v)
+		}
+	}
+	return s
+}
+
+// trace is a course of the world from its start.
+type trace []action
+
+func (t trace) String() string {
+	var parts []string
+	for _, x := range t {
+		parts = append(parts, x.String())
+	}
+	return strings.Join(parts, "; ")
+}
+
+// readTrace reads a kept trace.
+func readTrace(s string) trace {
+	var t trace
+	for _, part := range strings.Split(s, ";") {
+		f := strings.Fields(part)
+		if len(f) == 0 {
+			continue
+		}
+		kinds, ok := operands[verb(f[0])]
+		if !ok || len(kinds) != len(f)-1 {
+			panic("no such action: " + part)
+		}
+		x := action{verb: verb(f[0])}
+		for i, kind := range kinds {
+			v := int(f[i+1][0] - 'a')
+			if kind == 'n' {
+				n, err := strconv.Atoi(f[i+1])
+				if err != nil {
+					panic(err)
+				}
+				v = n
+			}
+			if i == 0 {
+				x.a = v
+			} else {
+				x.b = v
+			}
+		}
+		t = append(t, x)
+	}
+	return t
+}
+
+// play runs a trace from the start of a world until something is wrong.
+func play(c config, t trace) *world {
+	w := newWorld(c, nil)
+	w.play(t)
+	return w
+}
+
+func (w *world) play(t trace) {
+	for _, x := range t {
+		w.act(x)
+		if w.judge.wrong != "" {
+			return
+		}
+	}
+}
+
+// act does one action and judges every state on the way.
+func (w *world) act(x action) {
+	switch x.verb {
+	case doTick:
+		for range x.a {
+			w.quiet()
+			w.tick()
+			w.judge.look(w)
+		}
+	case doStep:
+		for range x.a {
+			if w.judge.wrong == "" && w.step() {
+				w.judge.look(w)
+			}
+		}
+	default:
+		w.disturb(x)
+	}
+	w.judge.look(w)
+}
+
+func (w *world) disturb(x action) {
+	m := &w.machines[x.a]
+	switch x.verb {
+	case doPut:
+		w.do(x.a, Op{Kind: OpPut, Key: w.judge.registers[x.b].key, Expect: AnyRev})
+	case doGet:
+		w.do(x.a, Op{Kind: OpGet, Key: w.judge.registers[x.b].key})
+	case doClaim:
+		w.do(x.a, Op{Kind: OpClaim, Key: ClaimKey(uint64(x.b), "c")})
+	case doDuty:
+		w.do(x.a, Op{Kind: OpHold, Key: dutyKey, Holder: strconv.Itoa(x.b), Term: dutyTerm})
+	case doKill:
+		w.kill(x.a, len(m.unsynced))
+	case doPower:
+		w.kill(x.a, x.b)
+	case doStart:
+		w.start(x.a)
+	case doWipe:
+		w.wipe(x.a)
+	case doCheckpoint:
+		w.checkpoint(x.a)
+	case doFreeze:
+		m.frozen = m.up
+	case doThaw:
+		m.frozen = false
+	case doStall:
+		m.stalled = m.up
+	case doFlow:
+		m.stalled = false
+	case doLeave:
+		if w.running(x.a) {
+			w.input(x.a, input{kind: inLeave})
+		}
+	case doRoster:
+		w.roster(x.a, x.b)
+	default:
+		w.disturbWires(x)
+	}
+}
+
+func (w *world) disturbWires(x action) {
+	switch x.verb {
+	case doCut:
+		w.wires[x.a][x.b] = cut
+	case doHold:
+		w.wires[x.a][x.b] = held
+	case doHeal:
+		w.wires[x.a][x.b] = whole
+	case doIsolate:
+		for i := range w.config.machines {
+			w.wires[x.a][i], w.wires[i][x.a] = cut, cut
+		}
+	case doHealAll:
+		w.wires = [maxMachines][maxMachines]link{}
+	case doDrop:
+		if k := w.next(); k >= 0 {
+			w.flight = append(w.flight[:k:k], w.flight[k+1:]...)
+		}
+	case doRepeat:
+		if k := w.next(); k >= 0 {
+			w.flight = append(w.flight, w.flight[k])
+		}
+	case doPostpone:
+		if k := w.next(); k >= 0 {
+			p := w.flight[k]
+			w.flight = append(append(w.flight[:k:k], w.flight[k+1:]...), p)
+		}
+	default:
+		panic(fmt.Sprintf("no such action: %+v", x))
+	}
+}
+
+// roster has an operator ask for a change of the roster: the bits of which name the
+// voters that go, and then the machines that come. Most of them are no steps at all.
+func (w *world) roster(i, which int) {
+	if !w.running(i) {
+		return
+	}
+	r := w.machines[i].node.Roster()
+	next := Roster{Rev: r.Rev + 1}
+	for _, v := range r.Voters {
+		if which>>w.index(v.Name)&1 == 0 {
+			next.Voters = append(next.Voters, v)
+		}
+	}
+	for k := range w.config.machines {
+		m := &w.machines[k]
+		if _, in := r.Find(m.name); in || which>>(maxMachines+k)&1 == 0 {
+			continue
+		}
+		next.Voters = append(next.Voters, Voter{Name: m.name, Inc: m.inc, Num: uint16(16 + int(next.Step())*maxMachines + k)})
+	}
+	w.do(i, Op{Kind: OpPut, Key: RosterKey, Val: next.Bytes(), Expect: AnyRev})
+}
+
+// shorten looks for the shortest trace that still ends in a finding of that kind: parts
+// of it are left out, and counts are made smaller, as long as something can be.
+func shorten(c config, t trace, kind string) trace {
+	same := func(t trace) bool { return kindOf(play(c, t).judge.wrong) == kind }
+	for changed := true; changed; {
+		changed = false
+		for size := max(1, len(t)/2); size >= 1; size /= 2 {
+			for at := 0; at+size <= len(t); {
+				less := append(append(trace{}, t[:at]...), t[at+size:]...)
+				if same(less) {
+					t, changed = less, true
+				} else {
+					at++
+				}
+			}
+		}
+		for i := range t {
+			for t[i].verb == doTick || t[i].verb == doStep {
+				less := append(trace{}, t...)
+				if less[i].a--; less[i].a < 1 || !same(less) {
+					break
+				}
+				t, changed = less, true
+			}
+		}
+	}
+	return t
+}
+
+func kindOf(wrong string) string {
+	kind, _, _ := strings.Cut(wrong, ":")
+	return kind
+}
--- /dev/null
+++ b/quorum/explore_walk_test.go
@@ -0,0 +1,150 @@
+package quorum
+
+import "math/rand"
+
+// walk draws one random course of a world: mostly what happens by itself, with now and
+// then a disturbance, and repairs so that there is something left to disturb.
+func walk(c config, seed int64, actions int) (trace, *world) {
+	g := &walker{Rand: rand.New(rand.NewSource(seed)), w: newWorld(c, nil)}
+	g.fine = g.Intn(2) == 0
+	t := trace{{verb: doTick, a: 4}}
+	g.w.act(t[0])
+	for len(t) < actions && g.w.judge.wrong == "" {
+		x := g.draw()
+		t = append(t, x)
+		g.w.act(x)
+	}
+	return t, g.w
+}
+
+type walker struct {
+	*rand.Rand
+	w    *world
+	fine bool // disturbs between messages as well, not only between ticks
+}
+
+func (g *walker) machine() int { return g.Intn(g.w.config.machines) }
+
+// owner is a machine that answers for a register, or any if none does.
+func (g *walker) owner(register int) int {
+	for i := range g.w.config.machines {
+		if g.w.running(i) {
+			if _, ok := g.w.machines[i].node.Vouch(g.w.now, g.w.judge.registers[register].key); ok {
+				return i
+			}
+		}
+	}
+	return g.machine()
+}
+
+func (g *walker) draw() action {
+	switch p := g.Intn(100); {
+	case p < 45:
+		return action{verb: doTick, a: 1 + g.Intn(1+g.Intn(6))}
+	case p < 55 && g.fine:
+		return action{verb: doStep, a: 1 + g.Intn(8)}
+	case p < 67:
+		return g.client()
+	case p < 82:
+		return g.repair()
+	case p < 92:
+		return g.strike()
+	default:
+		return g.wire()
+	}
+}
+
+func (g *walker) client() action {
+	register := g.Intn(len(g.w.judge.registers))
+	at := g.owner(register)
+	if g.Intn(6) == 0 {
+		at = g.machine()
+	}
+	if g.w.config.machines > g.w.config.voters && g.Intn(5) == 0 {
+		return g.operator()
+	}
+	switch p := g.Intn(20); {
+	case p < 13:
+		return action{doPut, at, register}
+	case p < 15:
+		return action{doGet, at, register}
+	case p < 17:
+		return action{doDuty, at, g.Intn(3)}
+	default:
+		return action{doClaim, at, 1 + g.Intn(2)}
+	}
+}
+
+// operator asks for a change of the roster, now and then for one that is no step.
+func (g *walker) operator() action {
+	at := g.owner(0)
+	if g.Intn(4) == 0 {
+		return action{doRoster, at, g.Intn(1 << (2 * maxMachines))}
+	}
+	come, gone := 1<<(maxMachines+g.machine()), 1<<g.machine()
+	return action{doRoster, at, []int{come, gone, come | gone}[g.Intn(3)]}
+}
+
+func (g *walker) strike() action {
+	i := g.machine()
+	switch g.Intn(12) {
+	case 0, 1:
+		return action{verb: doKill, a: i}
+	case 2, 3, 4:
+		return action{doPower, i, g.Intn(3)}
+	case 5:
+		return action{verb: doFreeze, a: i}
+	case 6:
+		return action{verb: doStall, a: i}
+	case 7:
+		return action{verb: doLeave, a: i}
+	case 8:
+		return action{verb: doCheckpoint, a: i}
+	case 9:
+		if g.w.config.machines > g.w.config.voters {
+			return action{verb: doWipe, a: i}
+		}
+	}
+	return action{doPower, g.owner(g.Intn(len(g.w.judge.registers))), g.Intn(3)}
+}
+
+func (g *walker) wire() action {
+	a, b := g.machine(), g.machine()
+	switch g.Intn(8) {
+	case 0, 1:
+		return action{doCut, a, b}
+	case 2, 3:
+		return action{doHold, a, b}
+	case 4:
+		return action{verb: doIsolate, a: a}
+	case 5:
+		return action{verb: doDrop}
+	case 6:
+		return action{verb: doRepeat}
+	}
+	return action{verb: doPostpone}
+}
+
+// repair mends one thing that is broken, if any is.
+func (g *walker) repair() action {
+	for _, i := range g.Perm(g.w.config.machines) {
+		switch m := &g.w.machines[i]; {
+		case !m.up:
+			return action{verb: doStart, a: i}
+		case m.frozen:
+			return action{verb: doThaw, a: i}
+		case m.stalled:
+			return action{verb: doFlow, a: i}
+		}
+		for j := range g.w.config.machines {
+			if g.w.wires[i][j] == whole {
+				continue
+			}
+			if g.Intn(3) == 0 {
+				return action{verb: doHealAll}
+			}
+			return action{doHeal, i, j}
+		}
+	}
+	return action{verb: doTick, a: 1}
+}
--- /dev/null
+++ b/sim/linearizable_test.go
@@ -0,0 +1,104 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+
+	"violetthread/internal/lincheck"
+	"violetthread/quorum"
+)
+
+// recorder is a client of one key that keeps all it asked and was told.
+type recorder struct {
+	*Host
+	core    *Core
+	key     string
+	client  int
+	changes int // of a hundred operations
+	count   int
+	seen    uint64 // newest revision it was told of
+	ops     *[]lincheck.Op
+}
+
+func newRecorder(c *Core, client int, key string, changes int, ops *[]lincheck.Op) *recorder {
+	r := &recorder{core: c, key: key, client: client, changes: changes, ops: ops}
+	r.Host = c.w.NewHost(fmt.Sprint("recorder", client), "north", func() { r.Every(40_000, r.act) })
+	return r
+}
+
+func (r *recorder) act() {
+	w := r.core.w
+	node := r.core.Nodes[w.Rng.Intn(len(r.core.Nodes))]
+	r.count++
+	seen := lincheck.Op{Client: r.client, From: w.now}
+	op := quorum.Op{Kind: quorum.OpGet, Key: r.key}
+	if w.Rng.Intn(100) < r.changes {
+		seen.Put, seen.Val = true, fmt.Sprintf("%d-%d", r.client, r.count)
+		// A request that the network repeats must not change the key twice.
+		op.Kind, op.Expect, op.Val = quorum.OpPut, r.seen, []byte(seen.Val)
+	}
+	Call(r.Host, node.Host, op, 900_000, func(q quorum.Op, reply func(quorum.Answer)) { node.Op(q, 0, reply) },
+		func(a quorum.Answer) { r.answered(seen, a) },
+		func() { r.keep(seen) })
+}
+
+// answered takes all but a confirmation as unknown: where requests are repeated, one may
+// be refused although its twin took effect.
+func (r *recorder) answered(seen lincheck.Op, a quorum.Answer) {
+	if a.Status == quorum.Done || a.Status == quorum.Conflict {
+		r.seen = max(r.seen, a.Rev)
+	}
+	if a.Status == quorum.Done {
+		seen.Known, seen.To, seen.Rev, seen.Val = true, r.core.w.now, a.Rev, string(a.Val)
+	}
+	r.keep(seen)
+}
+
+func (r *recorder) keep(seen lincheck.Op) { *r.ops = append(*r.ops, seen) }
+
+// TestLinearizable: what operators see of a key on core days, answers lost and unknown
+// ones included, is explained by one order of their operations.
+func TestLinearizable(t *testing.T) {
+	for _, f := range CoreFaults {
+		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
+			confirmed, unknown := 0, 0
+			for seed := int64(1); seed <= 2; seed++ {
+				for key, ops := range recordedDay(seed, f) {
+					if err := lincheck.Check(ops); err != nil {
+						t.Fatalf("seed %d: %s: %v", seed, key, err)
+					}
+					for _, o := range ops {
+						if o.Known {
+							confirmed++
+						} else {
+							unknown++
+						}
+					}
+				}
+			}
+			t.Logf("%d operations confirmed, %d unknown", confirmed, unknown)
+			if confirmed < 300 {
+				t.Fatalf("%d operations confirmed: too little to prove anything", confirmed)
+			}
+		})
+	}
+}
+
+// recordedDay is a core day with operators at a busy key and at one seldom changed.
+func recordedDay(seed int64, f Fault) map[string][]lincheck.Op {
+	const length = 8_000_000
+	w := NewWorld(seed)
+	c := NewCore(w, 4)
+	c.Start()
+	plan, rare := &[]lincheck.Op{}, &[]lincheck.Op{}
+	for i := range 3 {
+		newRecorder(c, i, "plan", 60, plan).Start()
+	}
+	for i := range 2 {
+		newRecorder(c, 3+i, "rare", 8, rare).Start()
+	}
+	c.Plague(f, length)
+	w.Run(length + 3_000_000)
+	return map[string][]lincheck.Op{"plan": *plan, "rare": *rare}
+}
