--- a/quorum/explore_test.go
+++ b/quorum/explore_test.go
@@ -14,6 +14,7 @@
 	withEras    = config{voters: 3, machines: 3, slots: 2, chunk: 1 << 20, eraTerm: 3 * tickTime}
 	inParts     = config{voters: 3, machines: 3, slots: 1, chunk: 300}
 	threeOfFive = config{voters: 3, machines: 5, slots: 2, chunk: 1 << 20}
+	seated      = config{voters: 3, machines: 5, slots: 2, chunk: 1 << 20, seats: 3}
 	fourOfFive  = config{voters: 4, machines: 5, slots: 1, chunk: 1 << 20}
 	five        = config{voters: 5, machines: 5, slots: 1, chunk: 1 << 20}
 )
@@ -48,6 +49,7 @@
 		{"eras", withEras, 250},
 		{"in parts", inParts, 250},
 		{"roster", threeOfFive, 80},
+		{"seats", seated, 80},
 		{"four", fourOfFive, 70},
 		{"five", five, 50},
 	} {
--- a/quorum/explore_trace_test.go
+++ b/quorum/explore_trace_test.go
@@ -228,7 +228,7 @@
 		return
 	}
 	r := w.machines[i].node.Roster()
-	next := Roster{Rev: r.Rev + 1}
+	next := Roster{Rev: r.Rev + 1, Seats: r.Seats}
 	for _, v := range r.Voters {
 		if which>>w.index(v.Name)&1 == 0 {
 			next.Voters = append(next.Voters, v)
--- a/quorum/explore_world_test.go
+++ b/quorum/explore_world_test.go
@@ -29,6 +29,7 @@
 	slots    int
 	eraTerm  int64
 	chunk    int // bytes of entries in one message
+	seats    uint16
 }
 
 // diskLog is what a disk holds, newest record first; it is never changed, only extended.
@@ -116,7 +117,7 @@
 func newWorld(c config, k *cache) *world {
 	w := &world{config: c, cache: k, now: tickTime, inputs: new(int)}
 	w.judge.init(c)
-	r := Roster{Rev: Found(9)}
+	r := Roster{Rev: Found(9), Seats: c.seats}
 	for i := range c.machines {
 		w.machines[i] = machine{name: string(rune('a' + i)), inc: uint64(firstInc + i)}
 		if i < c.voters {
@@ -406,7 +407,7 @@
 	}
 }
 
-func flag(b bool) byte {
+func bit(b bool) byte {
 	if b {
 		return 1
 	}
@@ -427,7 +428,7 @@
 		b = binary.AppendUvarint(b, m.inc)
 		b = binary.AppendUvarint(b, m.issued)
 		b = binary.AppendUvarint(b, m.roster.Rev)
-		b = append(b, flag(m.up), flag(m.frozen), flag(m.stalled))
+		b = append(b, bit(m.up), bit(m.frozen), bit(m.stalled))
 		b = append(b, m.life.digest()...)
 		d := m.synced.digest()
 		b = append(b, d[:]...)
