--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -87,7 +87,7 @@
 func Settle(m quorum.Msg) *fb.FrameT {
 	return &fb.FrameT{Settle: &fb.SettleT{Kind: byte(m.Kind), From: m.From, Inc: m.Inc, Roster: m.Roster,
 		Slot: m.Slot, Epoch: m.Epoch, At: m.At, Prev: ver(m.Prev), Mark: ver(m.Mark), Settled: ver(m.Settled),
-		Joined: m.Joined, First: m.First, Keys: m.Keys, Promised: m.Promised, Era: m.Era,
+		Joined: m.Joined, First: m.First, Keys: m.Keys, Promised: m.Promised, Era: m.Era, More: m.More,
 		Entries: lo.Map(m.Entries, func(e quorum.Entry, _ int) *fb.EntryT { return entry(e) }),
 		Marks: lo.Map(m.Marks, func(k quorum.Mark, _ int) *fb.MarkT {
 			return &fb.MarkT{Slot: k.Slot, Epoch: k.Epoch, Last: ver(k.Last), Settled: ver(k.Settled), Firm: k.Firm}
@@ -98,7 +98,7 @@
 func Unsettle(t *fb.SettleT) quorum.Msg {
 	return quorum.Msg{Kind: quorum.Kind(t.Kind), From: t.From, Inc: t.Inc, Roster: t.Roster,
 		Slot: t.Slot, Epoch: t.Epoch, At: t.At, Prev: unver(t.Prev), Mark: unver(t.Mark), Settled: unver(t.Settled),
-		Joined: t.Joined, First: t.First, Keys: t.Keys, Promised: t.Promised, Era: t.Era,
+		Joined: t.Joined, First: t.First, Keys: t.Keys, Promised: t.Promised, Era: t.Era, More: t.More,
 		Entries: lo.Map(t.Entries, func(e *fb.EntryT, _ int) quorum.Entry { return unentry(e) }),
 		Marks: lo.Map(t.Marks, func(k *fb.MarkT, _ int) quorum.Mark {
 			return quorum.Mark{Slot: k.Slot, Epoch: k.Epoch, Last: unver(k.Last), Settled: unver(k.Settled), Firm: k.Firm}
--- a/quorum/catchup.go
+++ b/quorum/catchup.go
@@ -1,37 +1,96 @@
 package quorum
 
+import "sort"
+
+// snapshot is what a voter gathers of a line that it is about to join. Nothing of it is
+// part of the slot's state before the last part has come (design §4.9).
+type snapshot struct {
+	epoch   uint64 // of the line
+	sure    Ver    // what the voter was certain of when it began
+	at      Ver    // all that was changed after sure and up to here has come
+	entries map[string]Entry
+	absent  []string // doubted keys that the line does not have
+}
+
+// lacking reports whether this voter has not joined the newest line that it knows of.
+func (s *slot) lacking() bool { return s.joined == 0 || s.snapshot != nil }
+
+// fetchPatience is how many beats a part of a snapshot is waited for before it is asked
+// for again.
+const fetchPatience = 3
+
 // follow asks the owner for what this voter lacks.
 func (n *Node) follow(now int64, i uint16, s *slot, last Ver, o *Out) {
-	if s.joined == s.ownerEp && !s.mark.Less(last) || now-s.fetchAt < n.p.Beat {
+	patience := n.p.Beat
+	if s.snapshot != nil && s.snapshot.epoch == s.ownerEp {
+		patience *= fetchPatience
+	}
+	if s.joined == s.ownerEp && !s.mark.Less(last) || now-s.fetchAt < patience {
 		return
 	}
+	n.fetch(now, i, s, o)
+}
+
+// fetch asks for the next part: of the line that this voter follows, or of the snapshot
+// with which it joins another.
+func (n *Node) fetch(now int64, i uint16, s *slot, o *Out) {
 	s.fetchAt = now
-	f := Msg{Kind: Fetch, Slot: i, Epoch: s.ownerEp, Mark: s.mark}
+	m := Msg{Kind: Fetch, Slot: i, Epoch: s.ownerEp, Mark: s.mark, More: true}
 	if s.joined != s.ownerEp {
-		f.First, f.Mark, f.Keys = true, s.sure(), s.doubts()
+		if s.snapshot == nil || s.snapshot.epoch != s.ownerEp {
+			s.snapshot = &snapshot{epoch: s.ownerEp, sure: s.sure(), entries: map[string]Entry{}}
+		}
+		m.First, m.Mark, m.Prev = true, s.snapshot.sure, s.snapshot.at
+		if m.Prev == (Ver{}) {
+			m.Keys = s.doubts()
+		}
 	}
-	n.send(o, s.owner, f)
+	n.send(o, s.owner, m)
 }
 
+// onFetch answers with the changes after what the voter has, oldest first, as many as one
+// message takes. What changes meanwhile comes again at the end of that order.
 func (n *Node) onFetch(m Msg, o *Out) {
 	s := n.slots[m.Slot]
 	if s.st < finishing || s.epoch != m.Epoch {
 		return
 	}
-	es, absent := s.since(m.Mark, m.Keys)
-	f := Msg{Kind: Fill, Slot: m.Slot, Epoch: s.epoch, First: m.First, Mark: Ver{s.epoch, s.seq}, Settled: s.settled, Keys: absent, Entries: es}
-	if !m.First {
-		// Changes may go in parts, since they are ordered; the checkpoint that
-		// starts a line goes whole.
-		sz := 0
-		for j, e := range es {
-			if sz += entSize(e); sz > n.p.Chunk && j+1 < len(es) {
-				f.Entries, f.Mark = es[:j+1], e.Ver
-				break
-			}
+	after := m.Mark
+	if after.Less(m.Prev) {
+		after = m.Prev
+	}
+	fill := Msg{Kind: Fill, Slot: m.Slot, Epoch: s.epoch, First: m.First, Prev: m.Prev, Mark: Ver{s.epoch, s.seq}, Settled: s.settled}
+	fill.Entries, fill.Keys = s.replaced(after, m.Keys)
+	whole := m.First && !m.More // a voter of a version that takes a snapshot in one part
+	size := 0
+	for _, change := range s.live(after) {
+		entry := s.ent[change.k]
+		if size > 0 && size+entSize(entry) > n.p.Chunk && !whole {
+			fill.More = true
+			break
+		}
+		size += entSize(entry)
+		fill.Entries = append(fill.Entries, entry)
+	}
+	if fill.More {
+		fill.Mark = fill.Entries[len(fill.Entries)-1].Ver
+	}
+	n.send(o, m.From, fill)
+}
+
+// replaced lists what stands here in the place of doubted changes: registers not changed
+// after mark, and keys that do not exist. All later changes come in their order.
+func (s *slot) replaced(mark Ver, doubted []string) (entries []Entry, absent []string) {
+	for _, key := range doubted {
+		entry, ok := s.ent[key]
+		switch {
+		case !ok:
+			absent = append(absent, key)
+		case !mark.Less(entry.Ver):
+			entries = append(entries, entry)
 		}
 	}
-	n.send(o, m.From, f)
+	return entries, absent
 }
 
 func (n *Node) onFill(now int64, m Msg, o *Out) {
@@ -39,29 +98,68 @@
 	if m.Epoch != s.promised || m.From != s.owner || m.Epoch != s.ownerEp || s.st != idle {
 		return
 	}
-	s.fetchAt = 0
-	if !m.First {
-		if s.joined == m.Epoch {
-			n.take(now, m.Slot, s, m.Entries, m.Mark, m.Settled, o)
+	switch {
+	case !m.First && s.joined == m.Epoch:
+		s.fetchAt = 0
+		n.take(now, m.Slot, s, m.Entries, m.Mark, m.Settled, o)
+	case m.First && s.joined != m.Epoch && n.gather(s, m):
+		s.fetchAt = 0
+		if !m.More {
+			n.joinLine(now, m.Slot, s, m, o)
 		}
+	default:
 		return
 	}
-	if s.joined == m.Epoch {
-		return
+	if m.More {
+		n.fetch(now, m.Slot, s, o) // at once, so that it outruns the changes that come
+	}
+}
+
+// gather adds a part to the snapshot under way, if it is the one that was asked for.
+func (n *Node) gather(s *slot, m Msg) bool {
+	snap := s.snapshot
+	if snap == nil || snap.epoch != m.Epoch || snap.at != m.Prev {
+		return false
+	}
+	if m.Prev == (Ver{}) {
+		snap.absent = m.Keys
 	}
-	// What was in doubt is replaced by what the owner's line says. Drops come
-	// after the entries: a crash between them loses nothing that was settled.
-	was, sure := s.joined, s.sure()
-	for _, e := range m.Entries {
-		n.adopt(m.Slot, s, e, was, sure, o)
+	for _, entry := range m.Entries {
+		snap.entries[entry.Key] = entry
 	}
-	for _, k := range m.Keys {
-		n.forget(m.Slot, s, k, o)
+	snap.at = m.Mark
+	return true
+}
+
+// joinLine takes a whole snapshot over and follows the owner's line from then on. What
+// was in doubt is replaced by what that line says. Drops come after the entries: a crash
+// between them loses nothing that was settled.
+func (n *Node) joinLine(now int64, i uint16, s *slot, last Msg, o *Out) {
+	snap := s.snapshot
+	s.snapshot = nil
+	was := s.joined
+	for _, entry := range snap.ordered() {
+		n.adopt(i, s, entry, was, snap.sure, o)
+	}
+	for _, key := range snap.absent {
+		if _, later := snap.entries[key]; !later {
+			n.forget(i, s, key, o)
+		}
 	}
-	s.joined, s.mark = m.Epoch, m.Mark
-	if s.settled = m.Settled; s.mark.Less(s.settled) {
+	s.joined, s.mark, s.settled = last.Epoch, last.Mark, last.Settled
+	if s.mark.Less(s.settled) {
 		s.settled = s.mark
 	}
-	n.join(m.Slot, s, o)
-	n.confirm(now, m.Slot, s, o)
+	n.join(i, s, o)
+	n.confirm(now, i, s, o)
+}
+
+// ordered lists the registers of a snapshot, oldest change first.
+func (p *snapshot) ordered() []Entry {
+	entries := make([]Entry, 0, len(p.entries))
+	for _, entry := range p.entries {
+		entries = append(entries, entry)
+	}
+	sort.Slice(entries, func(a, b int) bool { return entries[a].Ver.Less(entries[b].Ver) })
+	return entries
 }
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -18,7 +18,8 @@
 }
 
 // rank is this node's place in line for a slot, so that candidates do not duel. It goes
-// by round robin, so that every voter starts with its fair part; who is silent is passed.
+// by round robin, so that every voter starts with its fair part; who is silent is passed,
+// and who lacks the slot's line comes last, since it would have to be sent all of it.
 func (n *Node) rank(now int64, i uint16) int64 {
 	vs := make([]string, 0, len(n.roster.Voters))
 	for _, v := range n.roster.Voters {
@@ -26,6 +27,9 @@
 	}
 	sort.Strings(vs)
 	var r int64
+	if n.slots[i].lacking() && n.roster.Step() > 1 {
+		r = int64(len(vs))
+	}
 	for k := range vs {
 		v := vs[(int(i)+k)%len(vs)]
 		if v == n.p.Name {
@@ -167,6 +171,7 @@
 			n.forget(i, s, k, o)
 		}
 	}
+	s.snapshot = nil
 	s.st, s.seq, s.joined, s.mark, s.settled = finishing, 0, s.epoch, Ver{s.epoch, 0}, c
 	s.acked, s.pend, s.holds, s.order = map[string]Ver{}, map[string]*pending{}, map[string]int64{}, nil
 	n.join(i, s, o)
--- a/quorum/slot.go
+++ b/quorum/slot.go
@@ -27,6 +27,7 @@
 	heldUntil int64 // no other candidate is granted before
 	waitUntil int64 // this node seeks the slot no sooner
 	fetchAt   int64
+	snapshot  *snapshot // of a line that is being joined
 	// As candidate or owner.
 	st       stage
 	first    bool   // was the owner until the roster changed: seek at once
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -76,6 +76,9 @@
 	Marks    []Mark
 	Promised uint64
 	Era      uint64 // newest that the sender heard of, with beats
+	// More says of a Fetch that it takes a snapshot in parts, and of a Fill that
+	// another part follows.
+	More bool
 }
 
 // RecKind names a record on disk.
--- a/schema/fb/desk_generated.go
+++ b/schema/fb/desk_generated.go
@@ -425,6 +425,7 @@
 	Marks    []*MarkT  `json:"marks"`
 	Promised uint64    `json:"promised"`
 	Era      uint64    `json:"era"`
+	More     bool      `json:"more"`
 }
 
 func (t *SettleT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -492,6 +493,7 @@
 	SettleAddMarks(builder, marksOffset)
 	SettleAddPromised(builder, t.Promised)
 	SettleAddEra(builder, t.Era)
+	SettleAddMore(builder, t.More)
 	return SettleEnd(builder)
 }
 
@@ -529,6 +531,7 @@
 	}
 	t.Promised = rcv.Promised()
 	t.Era = rcv.Era()
+	t.More = rcv.More()
 }
 
 func (rcv *Settle) UnPack() *SettleT {
@@ -791,8 +794,20 @@
 	return rcv._tab.MutateUint64Slot(36, n)
 }
 
+func (rcv *Settle) More() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Settle) MutateMore(n bool) bool {
+	return rcv._tab.MutateBoolSlot(38, n)
+}
+
 func SettleStart(builder *flatbuffers.Builder) {
-	builder.StartObject(17)
+	builder.StartObject(18)
 }
 func SettleAddKind(builder *flatbuffers.Builder, kind byte) {
 	builder.PrependByteSlot(0, kind, 0)
@@ -854,6 +869,9 @@
 func SettleAddEra(builder *flatbuffers.Builder, era uint64) {
 	builder.PrependUint64Slot(16, era, 0)
 }
+func SettleAddMore(builder *flatbuffers.Builder, more bool) {
+	builder.PrependBoolSlot(17, more, false)
+}
 func SettleEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- /dev/null
+++ b/sim/snapshot_test.go
@@ -0,0 +1,181 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+
+	"violetthread/quorum"
+)
+
+// frameBound stands for the bound of a frame on the wires, at the scale of the rings here.
+const frameBound = 400 << 10
+
+// snapshotDay is a core whose one slot holds much more than a frame takes, while changes
+// keep coming.
+type snapshotDay struct {
+	*membershipDay
+	keys    []string
+	largest int   // message that was sent
+	changes int   // acknowledged
+	every   int64 // between two changes
+}
+
+// newSnapshotDay fills the slot of the plan with so many registers of 20 KB.
+func newSnapshotDay(t *testing.T, seed int64, registers int) *snapshotDay {
+	w := NewWorld(seed)
+	c := NewCore(w, 4)
+	c.heals = true
+	c.era = 60_000_000
+	c.rings.Size = 2 << 20
+	c.Start()
+	d := &snapshotDay{membershipDay: &membershipDay{Core: c, size: coreSizes[1], h: NewHistory(w, planKey)}, every: 10_000}
+	c.drop = func(m quorum.Msg) bool {
+		size := 0
+		for _, e := range m.Entries {
+			size += len(e.Key) + len(e.Val)
+		}
+		d.largest = max(d.largest, size)
+		return size > frameBound
+	}
+	for i := 0; len(d.keys) < registers; i++ {
+		if k := fmt.Sprint("register", i); quorum.SlotOf(k, 16) == quorum.SlotOf(planKey, 16) {
+			d.keys = append(d.keys, k)
+		}
+	}
+	w.Run(2_500_000)
+	for _, k := range d.keys {
+		d.put(t, k)
+	}
+	client := w.NewHost("client", "north", func() {})
+	client.Start()
+	var next func()
+	next = func() {
+		r := d.Nodes[w.Rng.Intn(len(d.Nodes))]
+		k := d.keys[w.Rng.Intn(len(d.keys))]
+		Call(client, r.Host, d.op(k), 900_000, func(q quorum.Op, rep func(quorum.Answer)) { r.Op(q, 0, rep) }, func(a quorum.Answer) {
+			if a.Status == quorum.Done {
+				d.changes++
+			}
+		}, func() {})
+		client.After(d.every, next)
+	}
+	client.After(1, next)
+	NewOperator(c, "operator", d.h, 60).Start()
+	return d
+}
+
+func (d *snapshotDay) op(key string) quorum.Op {
+	return quorum.Op{Kind: quorum.OpPut, Key: key, Val: make([]byte, 20<<10), Expect: quorum.AnyRev}
+}
+
+func (d *snapshotDay) put(t *testing.T, key string) {
+	t.Helper()
+	for try := 0; try < 50; try++ {
+		var a quorum.Answer
+		d.Nodes[try%4].Op(d.op(key), 0, func(x quorum.Answer) { a = x })
+		d.until(1_000_000, func() bool { return a.Status != 0 })
+		if a.Status == quorum.Done {
+			return
+		}
+	}
+	t.Fatalf("%s is not settled: %v", key, d.w.wrong)
+}
+
+// differs names a register of the filled slot that the owner has settled and r holds
+// otherwise, or "".
+func (d *snapshotDay) differs(r *Registrar) string {
+	o := d.slotOwner()
+	if o == nil || o == r {
+		return ""
+	}
+	settled := o.node.Slots(o.Clock())[quorum.SlotOf(planKey, 16)].Settled
+	mine, theirs := registers(r), registers(o)
+	for _, k := range d.keys {
+		if e := theirs[k]; !settled.Less(e.Ver) && mine[k].Ver.Less(e.Ver) {
+			return fmt.Sprintf("%s is of %v, not %v", k, mine[k].Ver, e.Ver)
+		}
+	}
+	return ""
+}
+
+// registers are all that a machine holds.
+func registers(r *Registrar) map[string]quorum.Entry {
+	all := map[string]quorum.Entry{}
+	for _, rec := range r.node.Checkpoint() {
+		if rec.Kind == quorum.RecEntry {
+			all[rec.Entry.Key] = rec.Entry
+		}
+	}
+	return all
+}
+
+// slotOwner is the machine that owns the slot, or nil.
+func (d *snapshotDay) slotOwner() *Registrar {
+	for _, r := range d.alive() {
+		if owns(r) == 1 {
+			return r
+		}
+	}
+	return nil
+}
+
+// TestSnapshotInParts: a slot holds five times what a frame takes and changes come a
+// hundred times a second. A machine that comes back empty, or with state of hundreds of
+// changes ago, holds everything in time, also when it or the owner ends midway.
+func TestSnapshotInParts(t *testing.T) {
+	for _, how := range []string{"empty", "behind", "ends midway", "owner ends midway", "lossy"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			var worst int64
+			largest := 0
+			for seed := int64(1); seed <= max(seeds(), 2); seed++ {
+				d := newSnapshotDay(t, seed, 100)
+				r := d.alive()[0]
+				if how == "behind" { // and a line behind, since it owned the slot
+					d.until(2_000_000, func() bool { r = d.slotOwner(); return r != nil })
+				}
+				r.Kill()
+				if how != "behind" {
+					r.lose()
+				}
+				d.w.Run(d.w.now + 6_000_000)
+				r.Start()
+				bound := d.size.sync
+				switch how {
+				case "ends midway":
+					d.until(1_000_000, func() bool { return r.node != nil })
+					d.w.Run(d.w.now + d.w.Rng.Int63n(60_000))
+					d.w.Note("%s ends midway", r.Name)
+					r.PowerLoss()
+					d.w.Run(d.w.now + 200_000)
+					r.Start()
+				case "lossy":
+					d.w.Loss, d.w.Dup = 20, 200
+				case "owner ends midway":
+					d.until(1_000_000, func() bool { return r.node != nil })
+					d.w.Run(d.w.now + d.w.Rng.Int63n(60_000))
+					if o := d.slotOwner(); o != nil && o != r {
+						o.Kill()
+						d.w.At(d.w.now+300_000, o.Start)
+					}
+				}
+				took, ok := d.until(bound, func() bool { return d.caughtUp(r) })
+				if len(d.w.wrong) > 0 || !ok {
+					ro, _ := d.voters()
+					t.Fatalf("seed %d: not caught up in %d us, votes %v, largest message %d bytes, %d changes: %v", seed, took, r.holds(ro), d.largest, d.changes, d.w.wrong)
+				}
+				if was := d.differs(r); was != "" {
+					t.Fatalf("seed %d: it holds something else than the owner: %s", seed, was)
+				}
+				if d.largest > frameBound {
+					t.Fatalf("seed %d: a message of %d bytes was sent", seed, d.largest)
+				}
+				if d.changes < 300 {
+					t.Fatalf("seed %d: %d changes: too little to prove anything", seed, d.changes)
+				}
+				worst, largest = max(worst, took), max(largest, d.largest)
+			}
+			t.Logf("holds everything after %.2f s at worst, largest message %d bytes", float64(worst)/1e6, largest)
+		})
+	}
+}
