--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,8 +10,14 @@
 	"violetthread/schema/fb"
 )
 
-// proxyOld is how long a proxy's last word counts as its demand.
-const proxyOld = 800_000
+// Bounds in microseconds.
+const (
+	// proxyOld is how long a proxy's last word counts as its demand.
+	proxyOld = 800_000
+	// relayFor is how long an index node that did not answer is asked through another
+	// one before it is asked directly again.
+	relayFor = 3_000_000
+)
 
 // Agent is not safe for concurrent use.
 type Agent struct {
@@ -21,6 +27,7 @@
 	heard      bool
 	cust       map[string]*source
 	news       news
+	turn       int // of the index nodes that pass questions on
 }
 
 // source is what came from one index node.
@@ -31,6 +38,7 @@
 	imports []*fb.ImportT
 	seen    []*fb.SeenT
 	busy    bool
+	relayed int64 // asked through another index node until then
 }
 
 // news waits for the proxy to fetch it.
@@ -94,10 +102,11 @@
 	return nil
 }
 
-// Ask is a question for the index node of that name.
+// Ask is a question for the index node named Custodian, to be sent to the one named Via
+// at Addr: the same one, or another that passes it on.
 type Ask struct {
-	Custodian, Addr string
-	Room            *fb.RoomAskT
+	Custodian, Via, Addr string
+	Room                 *fb.RoomAskT
 }
 
 // Asks lists the questions to put now: one to each index node that has answered
@@ -129,13 +138,38 @@
 			continue
 		}
 		c.busy = true
-		as = append(as, Ask{n, live[n], &fb.RoomAskT{Proxy: g.name, Site: g.site, Wants: g.ask.Wants, Active: g.ask.Active,
-			NewsInc: g.ask.NewsInc, NewsSince: g.ask.NewsSince, Imports: c.imports, Seen: c.seen}})
+		room := &fb.RoomAskT{Proxy: g.name, Site: g.site, Wants: g.ask.Wants, Active: g.ask.Active,
+			NewsInc: g.ask.NewsInc, NewsSince: g.ask.NewsSince, Imports: c.imports, Seen: c.seen}
+		via := g.via(now, n, live)
+		if via != n {
+			room.To = n
+		}
+		as = append(as, Ask{Custodian: n, Via: via, Addr: live[via], Room: room})
 		c.imports, c.seen = nil, nil
 	}
 	return as
 }
 
+// via is the index node to send a question for another one to. With a part of the
+// network lost, the owner of an engine may be out of reach of a proxy that reaches the
+// engine itself; an order's age counts from before the question whatever its way.
+func (g *Agent) via(now int64, name string, live map[string]string) string {
+	if now >= g.cust[name].relayed {
+		return name
+	}
+	var others []string
+	for _, n := range g.names() {
+		if n != name && live[n] != "" && now >= g.cust[n].relayed {
+			others = append(others, n)
+		}
+	}
+	if len(others) == 0 {
+		return name
+	}
+	g.turn++
+	return others[g.turn%len(others)]
+}
+
 // Told takes in the answer to a question asked at time asked; nil is none. What
 // the question told may be lost then; hints and grades stand that.
 func (g *Agent) Told(a Ask, asked int64, t *fb.RoomTellT) {
@@ -145,6 +179,9 @@
 	}
 	c.busy = false
 	if t == nil {
+		if a.Via == a.Custodian {
+			c.relayed = asked + relayFor
+		}
 		return
 	}
 	c.orders, c.at, c.engines = t.Orders, asked, map[string]bool{}
--- a/index/duties.go
+++ b/index/duties.go
@@ -1,7 +1,9 @@
 package index
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -24,11 +26,17 @@
 	Free  bool
 }
 
-// EngineDuty and ShardDuty name the leases.
-func EngineDuty(n string) string { return "duty/engine/" + n }
+// The keys of duties begin with what is owned.
+const (
+	engineDutyPrefix = "duty/engine/"
+	shardDutyPrefix  = "duty/shard/"
+)
+
+// EngineDuty is the key of an engine's lease.
+func EngineDuty(n string) string { return engineDutyPrefix + n }
 
-// ShardDuty names a shard's lease.
-func ShardDuty(i int) string { return "duty/shard/" + strconv.Itoa(i) }
+// ShardDuty is the key of a shard's lease.
+func ShardDuty(i int) string { return shardDutyPrefix + strconv.Itoa(i) }
 
 func (k *Keeper) allDuties() []string {
 	var ds []string
@@ -51,13 +59,29 @@
 	return x ^ x>>29
 }
 
-// Placement says which custodian should hold each duty: whoever holds it keeps
-// it while no node has more than its part; the rest goes by rendezvous.
+// Placement says which custodian should hold each duty: whoever holds it keeps it
+// while no node has more than its part and it can serve it; the rest goes by
+// rendezvous among the nodes that can.
 func (k *Keeper) Placement() map[string]string {
 	out := map[string]string{}
 	if len(k.peers) == 0 {
 		return out
 	}
+	held := k.holders()
+	for _, prefix := range []string{engineDutyPrefix, shardDutyPrefix} {
+		var duties []string
+		for _, d := range k.allDuties() {
+			if strings.HasPrefix(d, prefix) {
+				duties = append(duties, d)
+			}
+		}
+		k.place(duties, held, out)
+	}
+	return out
+}
+
+// holders is who says to hold each duty.
+func (k *Keeper) holders() map[string]string {
 	held := map[string]string{}
 	for _, c := range k.peers {
 		for _, d := range c.Duties {
@@ -66,39 +90,81 @@
 			}
 		}
 	}
-	for _, kind := range []string{"duty/engine/", "duty/shard/"} {
-		var ds []string
-		for _, d := range k.allDuties() {
-			if strings.HasPrefix(d, kind) {
-				ds = append(ds, d)
-			}
+	return held
+}
+
+// place assigns the duties of one kind, sorted by key, in out.
+func (k *Keeper) place(duties []string, held, out map[string]string) {
+	most := (len(duties) + len(k.peers) - 1) / len(k.peers)
+	load := map[string]int{}
+	for _, d := range duties {
+		h := held[d]
+		if h == "" || load[h] >= most {
+			continue
 		}
-		most := (len(ds) + len(k.peers) - 1) / len(k.peers)
-		load := map[string]int{}
-		for _, d := range ds {
-			if h := held[d]; h != "" && load[h] < most {
-				out[d] = h
-				load[h]++
-			}
+		if contains(k.candidates(d, h), h) {
+			out[d] = h
+			load[h]++
 		}
-		for _, d := range ds {
-			if out[d] != "" {
-				continue
-			}
-			var best string
-			var bs uint64
-			for _, c := range k.peers {
-				if s := score(d, c.Name); load[c.Name] < most && (best == "" || s > bs) {
-					best, bs = c.Name, s
-				}
-			}
-			out[d] = best
-			load[best]++
+	}
+	for _, d := range duties {
+		if out[d] != "" {
+			continue
+		}
+		best := choose(d, held[d], k.candidates(d, held[d]), load, most)
+		out[d] = best
+		load[best]++
+	}
+}
+
+// candidates are the nodes that may hold a duty. An engine that its holder can't serve
+// goes to a node that shows it can. While there is none, the engine is down rather than
+// out of its holder's reach, and nothing is gained by a move.
+func (k *Keeper) candidates(duty, holder string) []Custodian {
+	able := filter(k.peers, func(c Custodian) bool { return c.able(duty) })
+	if holder == "" && len(able) > 0 || contains(able, holder) {
+		return able
+	}
+	if proven := filter(able, func(c Custodian) bool { return c.proven(duty) }); len(proven) > 0 {
+		return proven
+	}
+	if holder == "" {
+		return k.peers
+	}
+	return filter(k.peers, func(c Custodian) bool { return c.Name == holder })
+}
+
+// choose picks the candidate with room that ranks first for a duty. Without room
+// anywhere its holder keeps it, or else it goes to the one with the least to do.
+func choose(duty, holder string, candidates []Custodian, load map[string]int, most int) string {
+	open := filter(candidates, func(c Custodian) bool { return load[c.Name] < most })
+	if len(open) > 0 {
+		return slices.MaxFunc(open, func(a, b Custodian) int {
+			return cmp.Compare(score(duty, a.Name), score(duty, b.Name))
+		}).Name
+	}
+	if contains(candidates, holder) {
+		return holder
+	}
+	return slices.MinFunc(candidates, func(a, b Custodian) int {
+		return cmp.Compare(load[a.Name], load[b.Name])
+	}).Name
+}
+
+func filter(cs []Custodian, keep func(Custodian) bool) []Custodian {
+	var out []Custodian
+	for _, c := range cs {
+		if keep(c) {
+			out = append(out, c)
 		}
 	}
 	return out
 }
 
+func contains(cs []Custodian, name string) bool {
+	return slices.ContainsFunc(cs, func(c Custodian) bool { return c.Name == name })
+}
+
 // Want works out the lease operations that lead from what is held to what
 // should be. Each must be answered by Held.
 func (k *Keeper) Want(now int64) []DutyAsk {
@@ -110,7 +176,7 @@
 		}
 		// An engine's orders are out at proxies until the lease ends: it is not
 		// renewed, and given back then. A shard's owner orders nobody.
-		if d.epoch != 0 && !d.freeing && (now >= d.until || !strings.HasPrefix(n, "duty/engine/")) {
+		if d.epoch != 0 && !d.freeing && (now >= d.until || !strings.HasPrefix(n, engineDutyPrefix)) {
 			// Stopped here first; only then is the lease given back.
 			d.freeing, d.until = true, 0
 			k.dropped(n)
@@ -165,7 +231,7 @@
 	}
 	if d.epoch != epoch {
 		k.Counts.Takeovers++
-		if n, is := strings.CutPrefix(a.Key, "duty/engine/"); is {
+		if n, is := strings.CutPrefix(a.Key, engineDutyPrefix); is {
 			delete(k.engines, n)
 		}
 	}
@@ -177,10 +243,10 @@
 
 // dropped forgets what came with a duty.
 func (k *Keeper) dropped(n string) {
-	if e, ok := strings.CutPrefix(n, "duty/engine/"); ok {
+	if e, ok := strings.CutPrefix(n, engineDutyPrefix); ok {
 		delete(k.engines, e)
 	}
-	if s, ok := strings.CutPrefix(n, "duty/shard/"); ok {
+	if s, ok := strings.CutPrefix(n, shardDutyPrefix); ok {
 		i, _ := strconv.Atoi(s)
 		k.dir.ForgetKeys(func(c hint.Key) bool { return c.Shard(Shards) != i })
 	}
--- a/index/keeper.go
+++ b/index/keeper.go
@@ -30,10 +30,12 @@
 // Shards is how many shards the index has.
 const Shards = 16
 
-// Custodian is a live index node, with the duties it said it holds.
+// Custodian is a live index node, with the duties it said it holds and how it reaches
+// engines.
 type Custodian struct {
 	Name, Site, Addr string
 	Duties           []string
+	Reach
 }
 
 // Listed is an engine or the store as the platform lists it.
@@ -54,6 +56,7 @@
 	listAt     int64
 	duties     map[string]*duty
 	engines    map[string]*engine
+	contacts   map[string]*contact // engines that are asked, owned or not
 	proxies    map[string]*proxy
 	dir        *hint.Directory
 	holds      map[string]*follower // feeds of what my engines hold, by asker
@@ -73,7 +76,7 @@
 // New makes a keeper.
 func New(name, site string, inc uint64) *Keeper {
 	return &Keeper{name: name, site: site, inc: inc, listing: map[string]Listed{}, duties: map[string]*duty{},
-		engines: map[string]*engine{}, proxies: map[string]*proxy{}, dir: hint.NewDirectory(inc, 1<<20),
+		engines: map[string]*engine{}, contacts: map[string]*contact{}, proxies: map[string]*proxy{}, dir: hint.NewDirectory(inc, 1<<20),
 		holds: map[string]*follower{}, source: map[uint64]string{}, cursors: map[string]Cursor{}, placed: map[uint64]Place{}}
 }
 
--- a/index/reports.go
+++ b/index/reports.go
@@ -61,12 +61,17 @@
 	Whole        bool // its keeps must be read whole first
 }
 
-// Polls lists the engines to ask now.
+// Polls lists the engines to ask now: those owned here, and those of others that are
+// only asked for a sign of life (Epoch 0).
 func (k *Keeper) Polls(now int64) []Poll {
 	var ps []Poll
+	probes := k.probes(now)
 	for n, l := range k.listing {
 		ep, ok := k.Holds(now, EngineDuty(n))
 		if !ok {
+			if probes[n] {
+				ps = append(ps, Poll{Engine: n, Addr: l.Addr})
+			}
 			continue
 		}
 		e := k.engines[n]
@@ -77,6 +82,7 @@
 		ps = append(ps, Poll{n, l.Addr, ep, e.inc, e.seq, !e.known})
 	}
 	sort.Slice(ps, func(i, j int) bool { return ps[i].Engine < ps[j].Engine })
+	k.asked(now, ps)
 	return ps
 }
 
@@ -119,6 +125,7 @@
 
 // Reported takes in an engine's report. A gap makes its keeps be read anew.
 func (k *Keeper) Reported(now, asked int64, name string, r Report) {
+	k.answered(asked, name)
 	e := k.engines[name]
 	if _, ok := k.Holds(now, EngineDuty(name)); e == nil || !ok || asked < e.at {
 		return
--- a/internal/app/indexnode/indexnode.go
+++ b/internal/app/indexnode/indexnode.go
@@ -111,8 +111,8 @@
 func (c *custodian) self() *fb.NodeT {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &fb.NodeT{Name: c.s.Name, Role: "custodian", Site: c.s.Site, Addr: c.s.Wire, Http: c.s.HTTP, Inc: c.inc,
-		Ready: c.d.Ready(), Duties: c.k.Duties(clock.Now())}
+	n := &fb.NodeT{Name: c.s.Name, Role: "custodian", Site: c.s.Site, Addr: c.s.Wire, Http: c.s.HTTP, Inc: c.inc, Ready: c.d.Ready()}
+	return wire.TellIndexNode(c.k.Keeper, clock.Now(), n)
 }
 
 // with runs f on the keeper, which is not safe for concurrent use.
@@ -355,8 +355,10 @@
 	}
 }
 
-func (c *custodian) handle(_ context.Context, f *fb.FrameT) *fb.FrameT {
+func (c *custodian) handle(ctx context.Context, f *fb.FrameT) *fb.FrameT {
 	switch {
+	case f.RoomAsk != nil && f.RoomAsk.To != "" && f.RoomAsk.To != c.s.Name:
+		return c.relay(ctx, f)
 	case f.RoomAsk != nil:
 		return &fb.FrameT{RoomTell: c.room(f.RoomAsk)}
 	case f.NewsAsk != nil:
@@ -365,6 +367,23 @@
 	return nil
 }
 
+// relayPatience is how long an answer that is passed on is waited for, in microseconds.
+const relayPatience = 500_000
+
+// relay passes an agent's question on to the index node that it is for, which the agent
+// does not reach itself.
+func (c *custodian) relay(ctx context.Context, f *fb.FrameT) *fb.FrameT {
+	to, ok := lo.Find(c.ses.View().Nodes, func(n *fb.NodeT) bool { return n.Name == f.RoomAsk.To && n.Role == "custodian" })
+	if !ok || to.Addr == c.s.Wire {
+		return nil
+	}
+	answer, err := c.book.At(to.Addr).Call(ctx, &fb.FrameT{RoomAsk: f.RoomAsk}, relayPatience)
+	if err != nil || answer.RoomTell == nil {
+		return nil
+	}
+	return &fb.FrameT{RoomTell: answer.RoomTell}
+}
+
 func (c *custodian) room(q *fb.RoomAskT) (t *fb.RoomTellT) {
 	c.with(func(now int64, k *reel.Keeper) { t = wire.RoomTell(k, now, c.s.Name, q) })
 	return t
--- a/internal/wire/desk.go
+++ b/internal/wire/desk.go
@@ -24,12 +24,20 @@
 	for _, n := range ns {
 		if n.Role == "custodian" && n.Ready {
 			in = in || n.Name == me
-			cs = append(cs, index.Custodian{Name: n.Name, Site: n.Site, Addr: n.Addr, Duties: n.Duties})
+			cs = append(cs, index.Custodian{Name: n.Name, Site: n.Site, Addr: n.Addr, Duties: n.Duties,
+				Reach: index.Reach{ListStale: n.ListStale, Silent: n.Silent, Reached: n.Reached}})
 		}
 	}
 	return cs, in
 }
 
+// TellIndexNode adds what an index node's session says of its duties and engines.
+func TellIndexNode(k *index.Keeper, now int64, n *fb.NodeT) *fb.NodeT {
+	r := k.Reach(now)
+	n.Duties, n.ListStale, n.Silent, n.Reached = k.Duties(now), r.ListStale, r.Silent, r.Reached
+	return n
+}
+
 func key(n *fb.NewsT) hint.Key { return hint.Key{Hi: n.Hi, Lo: n.Lo, Check: n.Check} }
 
 // Batch unpacks a feed's answer.
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,98 @@
+package membership
+
+import (
+	"testing"
+
+	"violetthread/schema/fb"
+)
+
+// tell carries a control node's list to others.
+func tell(now int64, from *Roll, to ...*Roll) {
+	t := from.Tell(now)
+	for _, r := range to {
+		r.Hear(now, t)
+	}
+}
+
+func has(r *Roll, now int64, name string) bool {
+	for _, n := range r.Live(now) {
+		if n.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// TestSessionsGoRoundACutLink: with one link between control nodes cut, a third one
+// passes sessions on before they end, and takes it back once the link is mended.
+func TestSessionsGoRoundACutLink(t *testing.T) {
+	a, b, c := New("a"), New("b"), New("c")
+	now := int64(0)
+	step := func(cut bool) {
+		now += 300_000
+		a.Beat(now, &fb.NodeT{Name: "node"})
+		tell(now, a, b)
+		tell(now, c, b)
+		if !cut {
+			tell(now, a, c)
+			tell(now, c, a)
+		}
+		tell(now, b, a, c)
+	}
+	for range 5 {
+		step(false)
+	}
+	if n := len(b.Tell(now).Nodes); n > 0 {
+		t.Fatalf("%d sessions are passed on, and all hear each other", n)
+	}
+	for range 30 {
+		if step(true); !has(c, now, "node") {
+			t.Fatalf("at %d the session is not known beyond the cut", now)
+		}
+	}
+	for range 5 {
+		step(false)
+	}
+	if n := len(b.Tell(now).Nodes); n > 0 {
+		t.Fatalf("%d sessions are passed on after the link was mended", n)
+	}
+}
+
+// TestPassedOnSessionsEnd: what is passed on goes no further than one control node, so
+// that the sessions of a dead one end in time however long a list is under way.
+func TestPassedOnSessionsEnd(t *testing.T) {
+	a, b, c, d := New("a"), New("b"), New("c"), New("d")
+	a.Beat(0, &fb.NodeT{Name: "node"})
+	tell(0, a, b)
+	for now := int64(0); now < 2*Term; now += 100_000 {
+		// Each list takes as long as the time between two.
+		fromB, fromC, fromD := b.Tell(now), c.Tell(now), d.Tell(now)
+		for _, r := range []*Roll{b, c, d} {
+			for _, t := range []*fb.RollTellT{fromB, fromC, fromD} {
+				if t.Registrar != r.me {
+					r.Hear(now+100_000, t)
+				}
+			}
+		}
+	}
+	for _, r := range []*Roll{b, c, d} {
+		if has(r, 2*Term, "node") {
+			t.Fatalf("%s keeps a session that ended long ago", r.me)
+		}
+	}
+}
+
+// TestFirsthandGoesBefore: a control node's own word on its sessions is not replaced by
+// what another passes on.
+func TestFirsthandGoesBefore(t *testing.T) {
+	a := New("a")
+	a.Beat(0, &fb.NodeT{Name: "node"})
+	a.Hear(1000, &fb.RollTellT{Registrar: "b", Nodes: []*fb.NodeT{{Name: "node", Registrar: "a"}}})
+	if n := a.Live(1000); len(n) != 1 || n[0].Age != 1000 {
+		t.Fatalf("%+v", n[0])
+	}
+	a.Hear(2000, &fb.RollTellT{Registrar: "b", Nodes: []*fb.NodeT{{Name: "node", Registrar: "b"}}})
+	if n := a.Live(2000); n[0].Age != 0 || n[0].Registrar != "b" {
+		t.Fatalf("a node that went over to b: %+v", n[0])
+	}
+}
--- a/schema/fb/desk_generated.go
+++ b/schema/fb/desk_generated.go
@@ -1593,6 +1593,9 @@
 	Duties    []string `json:"duties"`
 	Age       int64    `json:"age"`
 	Registrar string   `json:"registrar"`
+	ListStale bool     `json:"list_stale"`
+	Silent    []string `json:"silent"`
+	Reached   []string `json:"reached"`
 }
 
 func (t *NodeT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -1618,6 +1621,32 @@
 		dutiesOffset = builder.EndVector(dutiesLength)
 	}
 	registrarOffset := builder.CreateString(t.Registrar)
+	silentOffset := flatbuffers.UOffsetT(0)
+	if t.Silent != nil {
+		silentLength := len(t.Silent)
+		silentOffsets := make([]flatbuffers.UOffsetT, silentLength)
+		for j := 0; j < silentLength; j++ {
+			silentOffsets[j] = builder.CreateString(t.Silent[j])
+		}
+		NodeStartSilentVector(builder, silentLength)
+		for j := silentLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(silentOffsets[j])
+		}
+		silentOffset = builder.EndVector(silentLength)
+	}
+	reachedOffset := flatbuffers.UOffsetT(0)
+	if t.Reached != nil {
+		reachedLength := len(t.Reached)
+		reachedOffsets := make([]flatbuffers.UOffsetT, reachedLength)
+		for j := 0; j < reachedLength; j++ {
+			reachedOffsets[j] = builder.CreateString(t.Reached[j])
+		}
+		NodeStartReachedVector(builder, reachedLength)
+		for j := reachedLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(reachedOffsets[j])
+		}
+		reachedOffset = builder.EndVector(reachedLength)
+	}
 	NodeStart(builder)
 	NodeAddName(builder, nameOffset)
 	NodeAddRole(builder, roleOffset)
@@ -1629,6 +1658,9 @@
 	NodeAddDuties(builder, dutiesOffset)
 	NodeAddAge(builder, t.Age)
 	NodeAddRegistrar(builder, registrarOffset)
+	NodeAddListStale(builder, t.ListStale)
+	NodeAddSilent(builder, silentOffset)
+	NodeAddReached(builder, reachedOffset)
 	return NodeEnd(builder)
 }
 
@@ -1647,6 +1679,17 @@
 	}
 	t.Age = rcv.Age()
 	t.Registrar = string(rcv.Registrar())
+	t.ListStale = rcv.ListStale()
+	silentLength := rcv.SilentLength()
+	t.Silent = make([]string, silentLength)
+	for j := 0; j < silentLength; j++ {
+		t.Silent[j] = string(rcv.Silent(j))
+	}
+	reachedLength := rcv.ReachedLength()
+	t.Reached = make([]string, reachedLength)
+	for j := 0; j < reachedLength; j++ {
+		t.Reached[j] = string(rcv.Reached(j))
+	}
 }
 
 func (rcv *Node) UnPack() *NodeT {
@@ -1786,8 +1829,54 @@
 	return nil
 }
 
+func (rcv *Node) ListStale() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(24))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Node) MutateListStale(n bool) bool {
+	return rcv._tab.MutateBoolSlot(24, n)
+}
+
+func (rcv *Node) Silent(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+	}
+	return nil
+}
+
+func (rcv *Node) SilentLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Node) Reached(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+	}
+	return nil
+}
+
+func (rcv *Node) ReachedLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func NodeStart(builder *flatbuffers.Builder) {
-	builder.StartObject(10)
+	builder.StartObject(13)
 }
 func NodeAddName(builder *flatbuffers.Builder, name flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(name), 0)
@@ -1822,6 +1911,21 @@
 func NodeAddRegistrar(builder *flatbuffers.Builder, registrar flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(9, flatbuffers.UOffsetT(registrar), 0)
 }
+func NodeAddListStale(builder *flatbuffers.Builder, listStale bool) {
+	builder.PrependBoolSlot(10, listStale, false)
+}
+func NodeAddSilent(builder *flatbuffers.Builder, silent flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(11, flatbuffers.UOffsetT(silent), 0)
+}
+func NodeStartSilentVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func NodeAddReached(builder *flatbuffers.Builder, reached flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(12, flatbuffers.UOffsetT(reached), 0)
+}
+func NodeStartReachedVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func NodeEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
@@ -2191,6 +2295,7 @@
 type RollTellT struct {
 	Registrar string   `json:"registrar"`
 	Nodes     []*NodeT `json:"nodes"`
+	Hears     []string `json:"hears"`
 }
 
 func (t *RollTellT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -2211,9 +2316,23 @@
 		}
 		nodesOffset = builder.EndVector(nodesLength)
 	}
+	hearsOffset := flatbuffers.UOffsetT(0)
+	if t.Hears != nil {
+		hearsLength := len(t.Hears)
+		hearsOffsets := make([]flatbuffers.UOffsetT, hearsLength)
+		for j := 0; j < hearsLength; j++ {
+			hearsOffsets[j] = builder.CreateString(t.Hears[j])
+		}
+		RollTellStartHearsVector(builder, hearsLength)
+		for j := hearsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(hearsOffsets[j])
+		}
+		hearsOffset = builder.EndVector(hearsLength)
+	}
 	RollTellStart(builder)
 	RollTellAddRegistrar(builder, registrarOffset)
 	RollTellAddNodes(builder, nodesOffset)
+	RollTellAddHears(builder, hearsOffset)
 	return RollTellEnd(builder)
 }
 
@@ -2226,6 +2345,11 @@
 		rcv.Nodes(&x, j)
 		t.Nodes[j] = x.UnPack()
 	}
+	hearsLength := rcv.HearsLength()
+	t.Hears = make([]string, hearsLength)
+	for j := 0; j < hearsLength; j++ {
+		t.Hears[j] = string(rcv.Hears(j))
+	}
 }
 
 func (rcv *RollTell) UnPack() *RollTellT {
@@ -2292,8 +2416,25 @@
 	return 0
 }
 
+func (rcv *RollTell) Hears(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+	}
+	return nil
+}
+
+func (rcv *RollTell) HearsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func RollTellStart(builder *flatbuffers.Builder) {
-	builder.StartObject(2)
+	builder.StartObject(3)
 }
 func RollTellAddRegistrar(builder *flatbuffers.Builder, registrar flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(registrar), 0)
@@ -2304,6 +2445,12 @@
 func RollTellStartNodesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func RollTellAddHears(builder *flatbuffers.Builder, hears flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(2, flatbuffers.UOffsetT(hears), 0)
+}
+func RollTellStartHearsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func RollTellEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
@@ -3756,6 +3903,7 @@
 	NewsSince uint64     `json:"news_since"`
 	Imports   []*ImportT `json:"imports"`
 	Seen      []*SeenT   `json:"seen"`
+	To        string     `json:"to"`
 }
 
 func (t *RoomAskT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -3803,6 +3951,7 @@
 		}
 		seenOffset = builder.EndVector(seenLength)
 	}
+	toOffset := builder.CreateString(t.To)
 	RoomAskStart(builder)
 	RoomAskAddProxy(builder, proxyOffset)
 	RoomAskAddSite(builder, siteOffset)
@@ -3813,6 +3962,7 @@
 	RoomAskAddNewsSince(builder, t.NewsSince)
 	RoomAskAddImports(builder, importsOffset)
 	RoomAskAddSeen(builder, seenOffset)
+	RoomAskAddTo(builder, toOffset)
 	return RoomAskEnd(builder)
 }
 
@@ -3844,6 +3994,7 @@
 		rcv.Seen(&x, j)
 		t.Seen[j] = x.UnPack()
 	}
+	t.To = string(rcv.To())
 }
 
 func (rcv *RoomAsk) UnPack() *RoomAskT {
@@ -4006,8 +4157,16 @@
 	return 0
 }
 
+func (rcv *RoomAsk) To() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
 func RoomAskStart(builder *flatbuffers.Builder) {
-	builder.StartObject(9)
+	builder.StartObject(10)
 }
 func RoomAskAddProxy(builder *flatbuffers.Builder, proxy flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(proxy), 0)
@@ -4045,6 +4204,9 @@
 func RoomAskStartSeenVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func RoomAskAddTo(builder *flatbuffers.Builder, to flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(9, flatbuffers.UOffsetT(to), 0)
+}
 func RoomAskEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/sim/core.go
+++ b/sim/core.go
@@ -380,6 +380,15 @@
 	r.out(r.node.Do(r.Clock(), op))
 }
 
+// muteAfter is how long an owner may be silent before nothing is passed on to it, as in
+// the daemon (internal/app/control): whoever asks learns at once to ask elsewhere.
+const muteAfter = 400_000
+
+// mute reports whether a voter was not heard here for a while.
+func (r *Registrar) mute(name string) bool {
+	return r.node != nil && r.node.Silence(r.Clock(), name) > muteAfter
+}
+
 // Op carries an operation to the owner, as the daemons do, with one hop.
 func (r *Registrar) Op(op quorum.Op, hops int, reply func(quorum.Answer)) {
 	r.Do(op, func(a quorum.Answer) {
@@ -387,6 +396,10 @@
 			reply(a)
 			return
 		}
+		if r.mute(a.Owner) {
+			reply(quorum.Answer{Status: quorum.NotOwner})
+			return
+		}
 		for _, p := range r.core.Nodes {
 			if p.Name == a.Owner {
 				Call(r.Host, p.Host, op, 700_000, func(q quorum.Op, rep func(quorum.Answer)) { p.Op(q, hops+1, rep) },
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -263,7 +263,8 @@
 	holder := fmt.Sprintf("%s#%x", c.Name, inc)
 	k := c.k
 	f.beat(c.Host, &c.m, func() *fb.NodeT {
-		return &fb.NodeT{Name: c.Name, Role: "custodian", Site: c.Site, Addr: c.Name, Inc: inc, Ready: !c.leaving, Duties: k.Duties(c.Clock())}
+		n := &fb.NodeT{Name: c.Name, Role: "custodian", Site: c.Site, Addr: c.Name, Inc: inc, Ready: !c.leaving}
+		return wire.TellIndexNode(k, c.Clock(), n)
 	}, nil)
 	c.Every(200_000, func() {
 		at := c.Clock()
@@ -313,6 +314,20 @@
 	c.Every(200_000, func() { c.news(k) })
 }
 
+// room answers an agent, or passes its question on to the index node that it is for.
+func (c *Custodian) room(q *fb.RoomAskT, reply func(*fb.RoomTellT)) {
+	if q.To == "" || q.To == c.Name {
+		reply(wire.RoomTell(c.k, c.Clock(), c.Name, q))
+		return
+	}
+	if o := c.f.custodian(q.To); o != nil {
+		Call(c.Host, o.Host, q, relayPatience, o.room, reply, func() {})
+	}
+}
+
+// relayPatience is how long an index node waits for an answer that it passes on.
+const relayPatience = 500_000
+
 func (c *Custodian) poll(k *index.Keeper, p index.Poll) {
 	e := c.f.engine(p.Engine)
 	if e == nil {
@@ -403,16 +418,15 @@
 	r.f.beat(r.Host, &r.m, func() *fb.NodeT { return r.node }, nil)
 	r.Every(120_000, func() {
 		for _, a := range g.Asks(r.Clock(), r.m.nodes) {
-			c, at := r.f.custodian(a.Custodian), r.Clock()
-			Call(r.Host, c.Host, a.Room, 700_000, func(q *fb.RoomAskT, rep func(*fb.RoomTellT)) { rep(wire.RoomTell(c.k, c.Clock(), c.Name, q)) },
-				func(t *fb.RoomTellT) {
-					if r.f.Unlearnt {
-						for _, o := range t.Orders {
-							o.Grades = nil
-						}
+			c, at := r.f.custodian(a.Via), r.Clock()
+			Call(r.Host, c.Host, a.Room, 700_000, c.room, func(t *fb.RoomTellT) {
+				if r.f.Unlearnt {
+					for _, o := range t.Orders {
+						o.Grades = nil
 					}
-					g.Told(a, at, t)
-				}, func() { g.Told(a, at, nil) })
+				}
+				g.Told(a, at, t)
+			}, func() { g.Told(a, at, nil) })
 		}
 	})
 }
