Catching up in parts claims nothing before its last part; questions wait for their sync

Cause, all three found by the explorer on the real deciding code: 1. A voter that lags behind in its own line took a Fill in parts, and its mark with each. A register that changed again meanwhile lies beyond the cut and is left out, also its older settled version, so that the voter confirmed a mark that was not true. One restart and one cut lost an acknowledged change (TestCatchUpInParts). 2. A Fetch named a mark that was not on disk yet. After a loss of power the late answer left a gap (TestLateMessages, a fill). 3. A Seek went out before its promise was on disk. After a loss of power the same epoch was sought again, and a late SeekOK to the former life elected it (TestLateMessages, a vote).

Ruled out: a wire field that names the mark a Fill counts from (a question that is on disk needs none); whole catch-ups (a frame bounds them).

--- a/quorum/catchup.go
+++ b/quorum/catchup.go
@@ -2,18 +2,22 @@
 
 import "sort"
 
-// snapshot is what a voter gathers of a line that it is about to join. Nothing of it is
-// part of the slot's state before the last part has come (design §4.9).
+// snapshot is what a voter gathers of a line in parts, be it one that it is about to join
+// or the one that it follows and lags behind in. Nothing of it is part of the slot's state
+// before the last part has come: until then a register that changed again meanwhile is
+// missing, and the voter must not claim to hold what came before that change (design §4.9).
 type snapshot struct {
 	epoch   uint64 // of the line
-	sure    Ver    // what the voter was certain of when it began
+	sure    Ver    // what the voter was certain of, or held of its own line, when it began
 	at      Ver    // all that was changed after sure and up to here has come
 	entries map[string]Entry
 	absent  []string // doubted keys that the line does not have
 }
 
 // lacking reports whether this voter has not joined the newest line that it knows of.
-func (s *slot) lacking() bool { return s.joined == 0 || s.snapshot != nil }
+func (s *slot) lacking() bool {
+	return s.joined == 0 || s.snapshot != nil && s.snapshot.epoch != s.joined
+}
 
 // fetchPatience is how many beats a part of a snapshot is waited for before it is asked
 // for again.
@@ -32,20 +36,31 @@
 }
 
 // fetch asks for the next part: of the line that this voter follows, or of the snapshot
-// with which it joins another.
+// with which it joins another. The question goes out once all that it says is on disk: an
+// answer to it may still come after a loss of power, and must not leave a gap then.
 func (n *Node) fetch(now int64, i uint16, s *slot, o *Out) {
 	s.fetchAt = now
-	m := Msg{Kind: Fetch, Slot: i, Epoch: s.ownerEp, Mark: s.mark, More: true}
+	snap := s.gathering()
+	first := s.joined != s.ownerEp
+	m := Msg{Kind: Fetch, Slot: i, Epoch: s.ownerEp, First: first, Mark: snap.sure, Prev: snap.at, More: true}
+	if first && snap.at == (Ver{}) {
+		m.Keys = s.doubts()
+	}
+	owner := s.owner
+	n.after(now, o, func(_ int64, o *Out) { n.send(o, owner, m) })
+}
+
+// gathering is the snapshot of the owner's line that is under way, or a new one.
+func (s *slot) gathering() *snapshot {
+	if s.snapshot != nil && s.snapshot.epoch == s.ownerEp {
+		return s.snapshot
+	}
+	from := s.mark
 	if s.joined != s.ownerEp {
-		if s.snapshot == nil || s.snapshot.epoch != s.ownerEp {
-			s.snapshot = &snapshot{epoch: s.ownerEp, sure: s.sure(), entries: map[string]Entry{}}
-		}
-		m.First, m.Mark, m.Prev = true, s.snapshot.sure, s.snapshot.at
-		if m.Prev == (Ver{}) {
-			m.Keys = s.doubts()
-		}
+		from = s.sure()
 	}
-	n.send(o, s.owner, m)
+	s.snapshot = &snapshot{epoch: s.ownerEp, sure: from, entries: map[string]Entry{}}
+	return s.snapshot
 }
 
 // onFetch answers with the changes after what the voter has, oldest first, as many as one
@@ -98,25 +113,24 @@
 	if m.Epoch != s.promised || m.From != s.owner || m.Epoch != s.ownerEp || s.st != idle {
 		return
 	}
-	switch {
-	case !m.First && s.joined == m.Epoch:
-		s.fetchAt = 0
-		n.take(now, m.Slot, s, m.Entries, m.Mark, m.Settled, o)
-	case m.First && s.joined != m.Epoch && n.gather(s, m):
-		s.fetchAt = 0
-		if !m.More {
-			n.joinLine(now, m.Slot, s, m, o)
-		}
-	default:
+	if m.First != (s.joined != m.Epoch) || !s.gather(m) {
 		return
 	}
-	if m.More {
+	s.fetchAt = 0
+	switch {
+	case m.More:
 		n.fetch(now, m.Slot, s, o) // at once, so that it outruns the changes that come
+	case m.First:
+		n.joinLine(now, m.Slot, s, m, o)
+	default:
+		entries := s.snapshot.ordered()
+		s.snapshot = nil
+		n.take(now, m.Slot, s, entries, m.Mark, m.Settled, o)
 	}
 }
 
 // gather adds a part to the snapshot under way, if it is the one that was asked for.
-func (n *Node) gather(s *slot, m Msg) bool {
+func (s *slot) gather(m Msg) bool {
 	snap := s.snapshot
 	if snap == nil || snap.epoch != m.Epoch || snap.at != m.Prev {
 		return false
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -119,8 +119,14 @@
 			n.elected(now, i, s, o)
 		}
 	})
+	// It goes out once the promise is on disk: else, after a loss of power, an answer to
+	// this life's question could be taken for one to the next life's, of the same epoch.
 	m := Msg{Kind: Seek, Slot: i, Epoch: e, Mark: s.sure(), Keys: s.doubts()}
-	n.others(func(v string) { n.send(o, v, m) })
+	n.after(now, o, func(_ int64, o *Out) {
+		if s.st == seeking && s.epoch == e {
+			n.others(func(v string) { n.send(o, v, m) })
+		}
+	})
 }
 
 // elected merges what a majority holds once enough have answered (design §4.3).
