--- a/sim/config_world.go
+++ b/sim/config_world.go
@@ -139,6 +139,16 @@
 // ConfigOwned reports whether a node answers for the configuration.
 func (cw *ConfigWorld) ConfigOwned() bool { return cw.Core.Owner(route.ConfigKey) != nil }
 
+// allUp reports whether all control nodes take part.
+func (cw *ConfigWorld) allUp() bool {
+	for _, r := range cw.Core.Nodes {
+		if !r.up || r.node == nil || !r.node.Firm() {
+			return false
+		}
+	}
+	return true
+}
+
 // AllFirm reports whether all nodes that are up are members and every slot is won and
 // finished under the present roster.
 func (cw *ConfigWorld) AllFirm() bool {
--- a/sim/core.go
+++ b/sim/core.go
@@ -27,13 +27,16 @@
 	answering func(*Registrar, quorum.Answer) bool
 	synced    func(*Registrar) bool
 	loses     func(OrderStep) bool // steps of orders that get lost, for directed days
-	stepping  bool                 // an operator is changing the roster
-	Steps     int                  // how often that was done
-	armed     bool                 // power goes at the next acknowledgement
-	heals     bool                 // registrars let each other in, without an operator
-	incs      uint64               // drawn so far, beside the first ones
-	Joined    int                  // how often a machine was let in
-	Slowest   int64                // from its start until all slots were firm with it
+	// checkpointing is asked before each record of a checkpoint, how many of it are
+	// written, and whether the process ends there; the parts are single records then.
+	checkpointing func(r *Registrar, written, of int) bool
+	stepping      bool   // an operator is changing the roster
+	Steps         int    // how often that was done
+	armed         bool   // power goes at the next acknowledgement
+	heals         bool   // registrars let each other in, without an operator
+	incs          uint64 // drawn so far, beside the first ones
+	Joined        int    // how often a machine was let in
+	Slowest       int64  // from its start until all slots were firm with it
 }
 
 // Registrar is a control node: the real voter on a real ring on a simulated disk.
@@ -50,6 +53,7 @@
 	syncing bool
 	under   bool         // a checkpoint is being written
 	parts   []quorum.Rec // what is still to come of it
+	whole   int          // records that it has
 	Ckpts   int
 	era     uint64 // newest that it heard of
 	ops     uint64
@@ -271,6 +275,7 @@
 
 func (r *Registrar) die(err error) {
 	r.Dead = err
+	r.core.w.Note("%s ends: %v", r.Name, err)
 	if errors.Is(err, wal.ErrCorrupt) {
 		r.core.w.Wrong("ring", "%s can't read its ring: %v", r.Name, err)
 	}
@@ -345,6 +350,9 @@
 			r.die(err)
 			return
 		}
+		if !r.up {
+			return
+		}
 		if r.core.synced != nil && r.core.synced(r) {
 			return
 		}
@@ -368,9 +376,16 @@
 		r.under, r.parts = true, r.node.Checkpoint()
 		r.core.w.Note("%s begins a checkpoint of %d", r.Name, len(r.parts))
 		r.Ckpts++
+		r.whole = len(r.parts)
 		return r.ring.Begin()
 	}
 	k := min(len(r.parts), 40)
+	if r.core.checkpointing != nil {
+		if r.core.checkpointing(r, r.whole-len(r.parts), r.whole) {
+			return nil
+		}
+		k = min(len(r.parts), 1)
+	}
 	var recs [][]byte
 	for _, c := range r.parts[:k] {
 		recs = append(recs, wire.Rec(c))
--- /dev/null
+++ b/sim/day_catchup.go
@@ -0,0 +1,258 @@
+package sim
+
+import (
+	"violetthread/quorum"
+	"violetthread/route"
+	"violetthread/wal"
+)
+
+// Setback is what keeps a member from following a long row of changes.
+type Setback string
+
+// The setbacks.
+const (
+	SetbackDown       Setback = "down"       // for a part of the row, with its disk
+	SetbackWiped      Setback = "wiped"      // for a part of the row, and comes back empty
+	SetbackRestarts   Setback = "restarts"   // again and again, killed or without power
+	SetbackCheckpoint Setback = "checkpoint" // ends at each record of a checkpoint in turn
+)
+
+// Setbacks lists them all.
+var Setbacks = []Setback{SetbackDown, SetbackWiped, SetbackRestarts, SetbackCheckpoint}
+
+const (
+	// largeRoutes is the size of the large configurations; the text is some 100 kB.
+	largeRoutes = 350
+	// Of each so many orders one brings a large configuration, and another, shortly
+	// after, a small one.
+	largeEvery = 60
+	largeFor   = 6
+	// downMost is the longest that a member is down, and restartMost that one that is
+	// restarted is away.
+	downMost    = 3_000_000
+	restartMost = 400_000
+)
+
+// catchupRing has room for a row of configurations beside a checkpoint that is written
+// record by record; a configuration remembers the changes that led to it.
+func catchupRing(changes int) wal.Plan {
+	return wal.Plan{Files: 24, Size: int64(20<<10 + changes*48)}
+}
+
+// CatchupResult is what a day of many changes came to.
+type CatchupResult struct {
+	Changes, Large, Setbacks, Checkpoints int
+	// Steps are the records of checkpoints at which a process ended.
+	Steps int
+	// CaughtUp is the longest from a member's start until it holds all that is settled.
+	CaughtUp int64
+	// Owners counts the changes of the configuration's owner.
+	Owners int
+	Wrong  []string
+	Notes  []string
+}
+
+// CatchupDay is a row of changes with setbacks of one kind.
+type CatchupDay struct {
+	*ConfigWorld
+	setback Setback
+	changes int
+	step    int                 // record at which the next checkpoint is cut short
+	rests   map[*Registrar]bool // its last checkpoint was cut short, the next one is not
+	busy    bool
+	owner   string
+	version map[uint64]uint64 // by revision of the register
+	result  CatchupResult
+}
+
+// RunCatchup runs a day of so many changes.
+func RunCatchup(seed int64, nodes, changes int, setback Setback, texts Texts) CatchupResult {
+	d := &CatchupDay{ConfigWorld: NewConfigWorld(seed, nodes, texts), setback: setback, changes: changes, rests: map[*Registrar]bool{}, version: map[uint64]uint64{}}
+	d.Core.rings = catchupRing(changes)
+	d.Core.heals = true
+	d.AddOperators(2)
+	d.AddReaders(1, 400_000)
+	for _, o := range d.Operators {
+		o.Pause = 10_000
+		o.Routes = d.routes
+	}
+	if setback == SetbackCheckpoint {
+		d.Core.checkpointing = d.cutsCheckpoint
+	}
+	d.Start()
+	w := d.World
+	if _, ok := d.Until(5_000_000, func() bool { return d.Config.Acks > 2 }); !ok {
+		w.Wrong("not begun", "no configuration was acknowledged after %d us", w.now)
+	}
+	d.watchOwner()
+	d.next()
+	most := int64(changes) * 400_000
+	if _, ok := d.Until(most, func() bool { return int(d.Config.newest) >= changes && !d.busy }); !ok {
+		w.Wrong("too slow", "%d of %d changes in %d us", d.Config.newest, changes, most)
+	}
+	d.Config.Close()
+	r := &d.result
+	r.Changes = int(d.Config.newest)
+	for _, n := range d.Core.Nodes {
+		r.Checkpoints += n.Ckpts
+	}
+	r.Wrong, r.Notes = w.wrong, w.note
+	return *r
+}
+
+// routes is the size of an operator's n-th order.
+func (d *CatchupDay) routes(n int) int {
+	switch n % largeEvery {
+	case largeEvery / 2:
+		d.result.Large++
+		return largeRoutes
+	case largeEvery/2 + largeFor:
+		return mergedRoutes
+	}
+	return 0
+}
+
+// next brings the next setback about, once the last one is over, while changes go on.
+func (d *CatchupDay) next() {
+	w := d.World
+	if d.setback == SetbackCheckpoint || int(d.Config.newest) >= d.changes {
+		return // checkpoints come by themselves
+	}
+	w.At(w.now+100_000+w.Rng.Int63n(500_000), func() {
+		r := d.Core.Nodes[w.Rng.Intn(len(d.Core.Nodes))]
+		d.busy = true
+		d.end(r, d.setback == SetbackWiped)
+		away := w.Rng.Int63n(downMost)
+		if d.setback == SetbackRestarts {
+			away = w.Rng.Int63n(restartMost)
+		}
+		w.At(w.now+away, func() { d.begin(r) })
+	})
+}
+
+// end ends a member's process, by a kill or with the power, and its disk if asked for.
+func (d *CatchupDay) end(r *Registrar, wiped bool) {
+	d.result.Setbacks++
+	switch {
+	case wiped:
+		r.lose()
+	case d.World.Rng.Intn(2) == 0:
+		r.PowerLoss()
+	default:
+		r.Kill()
+	}
+}
+
+// begin starts the member again and waits until it holds all that is settled.
+func (d *CatchupDay) begin(r *Registrar) {
+	w := d.World
+	at := w.now
+	bound := syncTime(len(d.Core.Nodes))
+	r.restart()
+	var look func()
+	look = func() {
+		took := w.now - at
+		if d.holdsAll(r) {
+			d.result.CaughtUp = max(d.result.CaughtUp, took)
+			d.busy = false
+			d.next()
+			return
+		}
+		if took > bound {
+			w.Wrong("not caught up", "%s does not hold all that is settled %d us after its start", r.Name, took)
+			return
+		}
+		w.At(w.now+watchEvery, look)
+	}
+	look()
+}
+
+// holdsAll reports whether a member votes and holds every slot up to what its owner
+// knows to be settled.
+func (d *CatchupDay) holdsAll(r *Registrar) bool {
+	if !r.up || r.node == nil || !r.node.Firm() {
+		return false
+	}
+	held := r.node.Slots(r.Clock())
+	owned := make([]bool, len(held))
+	for _, o := range d.Core.Nodes {
+		if !o.up || o.node == nil {
+			continue
+		}
+		for i, s := range o.node.Slots(o.Clock()) {
+			if !s.Mine {
+				continue
+			}
+			owned[i] = true
+			if held[i].Mark.Less(s.Settled) {
+				return false
+			}
+		}
+	}
+	for _, is := range owned {
+		if !is {
+			return false
+		}
+	}
+	return true
+}
+
+// cutsCheckpoint ends a process at the next record of a checkpoint in turn, while all
+// members are up and hold everything. The member's next checkpoint is left whole: what
+// is cut short takes room, and a ring that never sees a whole one is full in the end.
+func (d *CatchupDay) cutsCheckpoint(r *Registrar, written, of int) bool {
+	if d.rests[r] {
+		d.rests[r] = written < of-1
+		return false
+	}
+	if d.busy || written != d.step || !d.allUp() {
+		return false
+	}
+	d.step++
+	if d.step >= of {
+		d.step = 0
+	}
+	d.result.Steps++
+	d.rests[r], d.busy = true, true
+	d.end(r, false)
+	d.World.At(d.World.now+1+d.World.Rng.Int63n(restartMost), func() { d.begin(r) })
+	return true
+}
+
+// watchOwner judges that whoever answers for the configuration has the newest one.
+func (d *CatchupDay) watchOwner() {
+	w := d.World
+	for _, r := range d.Core.Nodes {
+		if r.up && !r.frozen && r.node != nil {
+			d.judgeOwner(r)
+		}
+	}
+	w.At(w.now+watchEvery/2, d.watchOwner)
+}
+
+func (d *CatchupDay) judgeOwner(r *Registrar) {
+	e, ok := r.node.Vouch(r.Clock(), route.ConfigKey)
+	if !ok {
+		return
+	}
+	if r.Name != d.owner {
+		d.owner = r.Name
+		d.result.Owners++
+	}
+	if floor := d.Config.inForceAt(d.World.now); d.versionOf(e) < floor {
+		d.World.Wrong("an owner with old state", "%s answers with version %d, %d was in force", r.Name, d.versionOf(e), floor)
+	}
+}
+
+// versionOf is the version that a register's entry holds; a revision has one value.
+func (d *CatchupDay) versionOf(e quorum.Entry) uint64 {
+	if v, ok := d.version[e.Rev]; ok {
+		return v
+	}
+	v, ok := configVersion(e.Val)
+	if !ok {
+		d.World.Wrong("unreadable", "revision %d of the configuration", e.Rev)
+	}
+	d.version[e.Rev] = v
+	return v
+}
--- /dev/null
+++ b/sim/day_catchup_test.go
@@ -0,0 +1,52 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestCatchupDays: a long row of changes, some of 350 routes, with members down for a part
+// of it, wiped, restarted, or ended at each record of a checkpoint. A member that is back
+// holds all that is settled within the time for which it counts as lost, and nobody
+// answers with old state. VT_SEEDS runs a thousand changes each.
+func TestCatchupDays(t *testing.T) {
+	for i, setback := range Setbacks {
+		for j, nodes := range controlSizes {
+			if seeds() == 0 && (i+j)%len(controlSizes) != 0 {
+				continue // CI takes each setback at one size
+			}
+			t.Run(fmt.Sprint(setback, " ", nodes), func(t *testing.T) {
+				t.Parallel()
+				var sum CatchupResult
+				for _, seed := range daySeeds(1) {
+					r := RunCatchup(seed, nodes, catchupChanges(), setback, platformTexts)
+					failDay(t, seed, r.Wrong, r.Notes)
+					sum.add(r)
+				}
+				t.Logf("%d changes, %d of 350 routes, %d setbacks, %d checkpoints, %d cut short, %d owners: caught up after %s of %s",
+					sum.Changes, sum.Large, sum.Setbacks, sum.Checkpoints, sum.Steps, sum.Owners, seconds(sum.CaughtUp), seconds(syncTime(nodes)))
+				if sum.Setbacks == 0 || sum.Large == 0 || sum.CaughtUp == 0 {
+					t.Error("too little to prove anything")
+				}
+			})
+		}
+	}
+}
+
+// catchupChanges is how many changes a day has.
+func catchupChanges() int {
+	if seeds() > 0 {
+		return 1000
+	}
+	return 100
+}
+
+func (r *CatchupResult) add(o CatchupResult) {
+	r.Changes += o.Changes
+	r.Large += o.Large
+	r.Setbacks += o.Setbacks
+	r.Checkpoints += o.Checkpoints
+	r.Steps += o.Steps
+	r.Owners += o.Owners
+	r.CaughtUp = max(r.CaughtUp, o.CaughtUp)
+}
--- a/sim/day_races.go
+++ b/sim/day_races.go
@@ -189,16 +189,6 @@
 	return true
 }
 
-// allUp reports whether all control nodes take part.
-func (d *RaceDay) allUp() bool {
-	for _, r := range d.Core.Nodes {
-		if !r.up || r.node == nil || !r.node.Firm() {
-			return false
-		}
-	}
-	return true
-}
-
 // onTaken cuts the power of all control nodes at some acknowledgements.
 func (d *RaceDay) onTaken(*Order) {
 	w := d.World
--- a/sim/day_secondloss.go
+++ b/sim/day_secondloss.go
@@ -84,6 +84,7 @@
 	cw := NewConfigWorld(seed, l.Nodes, Texts{})
 	cw.Core.rings = smallRing
 	cw.Core.heals = true
+	cw.Core.keepSeats()
 	s := &secondLossRun{SecondLoss: l, cw: cw, writer: NewSlotWriter(cw.Core)}
 	cw.Core.Start()
 	w := cw.World
@@ -104,7 +105,7 @@
 func (s *secondLossRun) prelude() {
 	w, nodes := s.cw.World, s.cw.Core.Nodes
 	first := nodes[w.Rng.Intn(len(nodes))]
-	back := w.now + 2*politeStop + w.Rng.Int63n(2_500_000)
+	back := w.now + leaveMost + leaveLeast + w.Rng.Int63n(2_500_000)
 	sync := syncTime(s.Nodes)
 	s.counts = back + sync
 	switch s.Prelude {
@@ -134,17 +135,39 @@
 	}
 }
 
-// leave stops a machine politely.
+// leave stops a machine politely, as control.Node does: it ends once its seat was dropped,
+// if its successor was let in before.
 func (s *secondLossRun) leave(r *Registrar) {
 	s.cw.World.Note("%s leaves politely", r.Name)
-	if r.up && r.node != nil {
-		r.out(r.node.Leave(r.Clock()))
+	if !r.up || r.node == nil {
+		return
 	}
-	r.After(politeStop, r.Kill)
+	r.out(r.node.Leave(r.Clock()))
+	end := r.Clock() + leaveMost
+	var wait func()
+	wait = func() {
+		if r.node != nil && r.node.HandingOver() && r.Clock() < end {
+			r.After(leaveLeast, wait)
+			return
+		}
+		r.Kill()
+	}
+	r.After(leaveLeast, wait)
 }
 
-// politeStop is from giving the slots up to the end of the process (control.Node).
-const politeStop = 100_000
+// How long a polite stop takes (internal/app/control).
+const (
+	leaveLeast = 100_000
+	leaveMost  = 900_000
+)
+
+// keepSeats has the roster count the seats that the fleet keeps, as at a founding.
+func (c *Core) keepSeats() {
+	c.ro.Seats = uint16(len(c.ro.Voters))
+	for _, r := range c.Nodes {
+		r.ro = c.ro
+	}
+}
 
 // strike waits for an acknowledgement and loses as many machines as may still be lost,
 // those first that hold the newest changes of its slot.
--- a/sim/register_edit_test.go
+++ b/sim/register_edit_test.go
@@ -15,6 +15,7 @@
 	operator := constants(t, "../platform/operator.go")
 	node := constants(t, "../internal/app/control/control.go")
 	contact := constants(t, "../internal/app/control/embed.go")
+	join := constants(t, "../internal/app/control/join.go")
 	directory := constants(t, "../internal/app/directory/directory.go")
 	follower := constants(t, "../internal/app/proxy/follow.go")
 	run := constants(t, "../platform/run.go")
@@ -33,6 +34,8 @@
 		{"refreshEvery", directoryRefresh, directory},
 		{"staleRegister", proxyOldWord, follower},
 		{"unusedFor", proxyShuns, follower},
+		{"leaveLeast", leaveLeast, join},
+		{"leaveMost", leaveMost, join},
 		{"slotTerm", platformTerm, run},
 	} {
 		if want, ok := c.from[c.name]; !ok || want != c.have {
