--- a/sim/core.go
+++ b/sim/core.go
@@ -30,13 +30,15 @@
 	// checkpointing is asked before each record of a checkpoint, how many of it are
 	// written, and whether the process ends there; the parts are single records then.
 	checkpointing func(r *Registrar, written, of int) bool
-	stepping      bool   // an operator is changing the roster
-	Steps         int    // how often that was done
-	armed         bool   // power goes at the next acknowledgement
-	heals         bool   // registrars let each other in, without an operator
-	incs          uint64 // drawn so far, beside the first ones
-	Joined        int    // how often a machine was let in
-	Slowest       int64  // from its start until all slots were firm with it
+	// echo is told of every message between voters, for directed days that repeat them.
+	echo     func(to *Registrar, m quorum.Msg)
+	stepping bool   // an operator is changing the roster
+	Steps    int    // how often that was done
+	armed    bool   // power goes at the next acknowledgement
+	heals    bool   // registrars let each other in, without an operator
+	incs     uint64 // drawn so far, beside the first ones
+	Joined   int    // how often a machine was let in
+	Slowest  int64  // from its start until all slots were firm with it
 }
 
 // Registrar is a control node: the real voter on a real ring on a simulated disk.
@@ -302,6 +304,9 @@
 			if p.Name == s.To {
 				m := s.Msg
 				r.Send(p.Host, func() { p.recv(m) })
+				if r.core.echo != nil {
+					r.core.echo(p, m)
+				}
 			}
 		}
 	}
--- /dev/null
+++ b/sim/day_messages_test.go
@@ -0,0 +1,49 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestMessageDays: the control nodes' own messages come late, out of order and again, also
+// to a later process of the same name. No answer counts for another question than its own:
+// changes stay linearizable, slots and duties have one owner, claims one holder.
+func TestMessageDays(t *testing.T) {
+	for _, nodes := range controlSizes {
+		if seeds() == 0 && nodes > 5 {
+			continue // the largest takes longest: on long runs
+		}
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			t.Parallel()
+			var sum MessagesResult
+			for _, seed := range daySeeds(1) {
+				r := RunMessages(seed, nodes, messagesLast())
+				failDay(t, seed, r.Wrong, r.Notes)
+				sum.add(r)
+			}
+			t.Logf("%d messages repeated, %d of them to another life, %d restarts: %d acknowledged, %d claims, %d terms; back after %s of %s",
+				sum.Echoes, sum.Stranger, sum.Restarts, sum.Acks, sum.Claims, sum.Terms, seconds(sum.Back), seconds(messagesBack))
+			if sum.Stranger < 50 || sum.Restarts < 2 || sum.Acks < 50 || sum.Claims == 0 || sum.Terms == 0 {
+				t.Error("too little to prove anything")
+			}
+		})
+	}
+}
+
+// messagesLast is how long a day of repeated messages is troubled.
+func messagesLast() int64 {
+	if seeds() > 0 {
+		return 15_000_000
+	}
+	return 6_000_000
+}
+
+func (r *MessagesResult) add(o MessagesResult) {
+	r.Acks += o.Acks
+	r.Claims += o.Claims
+	r.Terms += o.Terms
+	r.Echoes += o.Echoes
+	r.Stranger += o.Stranger
+	r.Restarts += o.Restarts
+	r.Back = max(r.Back, o.Back)
+}
