placement: once an address is another engine's, the next attempt goes where one answered

Ruled out: the budget's window (it counts by the route's pool, and held there). Change: after a 421 the next attempt goes to an engine whose answer came within 1.9 s, if there is one; the rest after a 421 doubles like that after a failure. TestMisdirectedGoesWhereOneAnswered (placement).

--- a/internal/app/proxy/faults_test.go
+++ b/internal/app/proxy/faults_test.go
@@ -349,3 +349,52 @@
 		t.Errorf("%d runs of %d requests", n, len(ids))
 	}
 }
+
+// TestAddressesOfOthers: where many addresses have become other engines', a request meets
+// one of them at most while an engine is known that answered lately, and each of them is
+// asked less and less often.
+func TestAddressesOfOthers(t *testing.T) {
+	const engines, calls = 40, 200
+	s := newStage(t, "others")
+	var mu sync.Mutex
+	met := map[string]int{}
+	good := ""
+	s.beginMany(engines, func(c *engineConn, _ int) {
+		r, _, err := c.readRequest()
+		if err != nil {
+			return
+		}
+		id, target := r.Header.Get(headerAttempt), r.Header.Get(headerTarget)
+		mu.Lock()
+		defer mu.Unlock()
+		if good == "" || good == target {
+			good = target
+			c.say(strings.Replace(answerTo(onceOnly, c.engine, id, 0), "\r\n", "\r\n"+headerLoad+": 8,9,8\r\n", 1))
+			return
+		}
+		met[id]++
+		c.say(withHead("421 Other", id, "", headerSkipped+": 1"))
+	})
+	served := 0
+	for range calls {
+		id := s.newID()
+		if a := s.call(onceOnly, id, body, longWaitMS); a.whole(onceOnly, id) {
+			served++
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	twice, all := 0, 0
+	for _, n := range met {
+		all += n
+		if n > 1 {
+			twice++
+		}
+	}
+	if twice > 0 || served < calls {
+		t.Errorf("%d of %d requests met two engines of others, %d were served", twice, calls, served)
+	}
+	if all > 2*engines {
+		t.Errorf("%d engines of others were asked %d times", engines-1, all)
+	}
+}
--- a/internal/app/proxy/passage.go
+++ b/internal/app/proxy/passage.go
@@ -35,7 +35,7 @@
 
 	restFullUS  = 250_000 // for an engine that turned a request away
 	restLostUS  = 400_000 // for an engine that broke off; doubles with each failure
-	restOtherUS = 300_000 // for an address that is another engine's now, or has other weights
+	restOtherUS = 300_000 // for an address that is another engine's now, or has other weights; doubles
 )
 
 // run derives the next move from the ledger until the request has ended.
@@ -179,7 +179,8 @@
 		c.pick.Rest(now, engine, restFullUS, false)
 	case end.state == attempt.NeverBegan && end.cause == causeOther:
 		c.counts.skipped.Add(1)
-		c.pick.Rest(now, engine, restOtherUS, false)
+		c.pick.Rest(now, engine, restOtherUS, true)
+		p.placing.Misdirected = true
 	case a.unreached:
 		c.pick.Rest(clock.Now(), engine, restLostUS, true)
 	case end.state == attempt.Broken && end.cause != reasonCallerGone && end.cause != reasonDuePassed:
--- a/internal/app/proxy/standin_test.go
+++ b/internal/app/proxy/standin_test.go
@@ -30,6 +30,8 @@
 	headerSeal      = "X-Violetthread-Response-Seal"
 	headerSkipped   = "X-Violetthread-Request-Skipped"
 	headerLastEvent = "Last-Event-Id"
+	headerLoad      = "X-Violetthread-Instance-Load"
+	headerTarget    = "X-Violetthread-Target-Instance"
 
 	pool     = "pool"
 	patience = 20 * time.Second
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,6 +44,9 @@
 	Wall   string
 	Tried  map[string]bool
 	Least  uint64 // version of the model that must be run, 0 for any
+	// Misdirected says that an address turned out to be another engine's. Many may have
+	// gone at once, so the next attempt goes to an engine that answered lately, if any.
+	Misdirected bool
 }
 
 // Choice is where a request goes. Empty Source and Dest mean none.
@@ -251,6 +254,11 @@
 	if rest := notTurning(es); len(rest) > 0 {
 		es = rest
 	}
+	if r.Misdirected {
+		if heard := p.heardLately(now, es); len(heard) > 0 {
+			es = heard
+		}
+	}
 	if len(es) == 0 {
 		return Choice{}, false
 	}
@@ -303,6 +311,20 @@
 	return best, true
 }
 
+// heardLatelyUS is shorter than the time after which a platform gives the address of an
+// engine that is gone to another one.
+const heardLatelyUS = 1_900_000
+
+// heardLately lists the engines that told their load in an answer a short while ago.
+func (p *Picker) heardLately(now int64, es []*Engine) (out []*Engine) {
+	for _, e := range es {
+		if s := p.seen[e.ID]; s.loadAt > 0 && now-s.loadAt < heardLatelyUS {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 func notTurning(es []*Engine) (out []*Engine) {
 	for _, e := range es {
 		if !e.Turning {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -279,3 +279,25 @@
 		}
 	}
 }
+
+// TestMisdirectedGoesWhereOneAnswered: once an address turned out to be another engine's,
+// the next attempt goes to an engine that answered lately, however idle others look.
+func TestMisdirectedGoesWhereOneAnswered(t *testing.T) {
+	f := fixture(6)
+	now := int64(10_000_000)
+	heard := f.es[4].ID
+	f.Load(now-500_000, heard, 8, 4, 8) // busy
+	f.Load(now-heardLatelyUS, f.es[5].ID, 0, 0, 8)
+	r := ask("a", "own")
+	if c, ok := f.Pick(now, r); !ok || c.Engine.ID == heard {
+		t.Fatalf("the case shows nothing: %v, %+v", ok, c.Engine)
+	}
+	r.Misdirected = true
+	if c, ok := f.Pick(now, r); !ok || c.Engine.ID != heard {
+		t.Errorf("%v, %+v", ok, c.Engine)
+	}
+	r.Tried[heard] = true
+	if c, ok := f.Pick(now, r); !ok || c.Engine.ID == heard {
+		t.Errorf("no engine has answered lately, and any other will do: %v, %+v", ok, c.Engine)
+	}
+}
