control: a full, stalled or failing disk stops the voter, not the process

A stalled disk was noticed by nobody: after 4096 batches the voter's loop hung.

Ruled out: space by preallocation (a full disk refuses overwrites too); trying the sync again (a cache calls pages clean that it could not write); writing the tail again from memory (a start needs the same reading anyway).

Change: the voter steps down (quorum.StepDown: slots given up, the seat kept), is thrown away with what was not synced, and another begins from what Log.Reopen read and proved, exactly as after a restart. Meanwhile the process is up, not ready, says why on /readyz, /v1/fleet and in metrics, one log line a spell, and passes operations on. Starts wait for room in the same way. Two seconds without an answer count as stalled, in ticks of the voter, so that a frozen process does not blame its disk. What does not pass (a ring that lost synced data, other sizes or formats, a folder in use) ends once, with an exit code other than 0 and the remedy (base.Daemon.Fail). control.go is split into storage, writer, lifecycle, voter and serve. A node whose disk was not read yet tells incarnation 0 and is not counted at a founding.

Tests: TestSickDisks asked that the process leaves; it now asks that it stays, votes no more, and comes back, which is stricter. New in internal/e2e/disk_test.go, against real processes with disks that take writes in part, refuse or hang.

--- a/internal/app/control/api.go
+++ b/internal/app/control/api.go
@@ -44,7 +44,7 @@
 	}
 	r.d.Gauge("slots_owned", "slots whose keys this node owns under a live lease", own)
 	r.d.Gauge("state_bytes", "bytes of live control state", func() float64 { return float64(r.stats.Load().size) })
-	r.d.Gauge("ring_used_permille", "part of the disk ring in use", func() float64 { return float64(r.used.Load()) })
+	r.d.Gauge("ring_used_permille", "part of the disk ring in use", func() float64 { return float64(r.storage.used.Load()) })
 	r.d.Gauge("era", "newest era of claims known to be open", func() float64 { return float64(r.era.Load()) })
 	r.d.Gauge("plan_rev", "revision of the plan last vouched for", func() float64 { return float64(r.cache.Load().Rev) })
 	r.d.Gauge("plan_age_us", "time since the plan was vouched for", func() float64 { return float64(r.cache.Load().Age(clock.Now())) })
@@ -191,7 +191,7 @@
 	var come *quorum.Voter
 	if c.Addr != "" {
 		a, err := r.book.At(c.Addr).Call(q.Context(), &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc()}}, 1_000_000)
-		if err != nil || a.FoundTell == nil {
+		if err != nil || a.FoundTell == nil || a.FoundTell.Inc == 0 {
 			no(http.StatusBadGateway, "newcomer-unreachable", "start the new registrar first, and give its wire address as IP:port")
 			return
 		}
@@ -233,6 +233,8 @@
 	// Step counts the roster's changes; Firm says that the next may be made.
 	Step uint64 `json:"roster_step"`
 	Firm bool   `json:"roster_firm"`
+	// Disk is this node's own.
+	Disk DiskState `json:"disk"`
 }
 
 // PlanState is the plan as this registrar last heard it vouched for.
@@ -279,6 +281,7 @@
 		f.Nodes = append(f.Nodes, NodeState{n.Name, n.Role, n.Site, n.Http, n.Addr, n.Ready, n.Registrar, n.Age, n.Duties})
 	}
 	f.Firm = r.stats.Load().firm
+	f.Disk = r.Disk()
 	if x := r.found.Load(); x != nil {
 		f.Step = wire.Unroster(x).Step()
 		for _, v := range x.Voters {
--- a/internal/app/control/join.go
+++ b/internal/app/control/join.go
@@ -27,72 +27,12 @@
 	maxKnown   = 32
 )
 
-// life is a disk's way: it finds or founds a roster that holds it, votes while a
-// roster does, and begins anew when none does any more (design §4.6).
-func (r *Node) life(ctx context.Context) {
-	for ctx.Err() == nil {
-		if f := r.found.Load(); f != nil && !r.holds(f) {
-			if err := r.retire(f); err != nil {
-				r.fatal(err)
-				return
-			}
-		}
-		if r.found.Load() == nil {
-			f, ok := r.join(ctx)
-			if !ok {
-				return
-			}
-			f.Inc = r.Inc()
-			if err := r.keep(f); err != nil {
-				r.fatal(err)
-				return
-			}
-			r.found.Store(f)
-			r.d.Log.Info("joined", "fleet", f.Fleet, "step", wire.Unroster(f).Step(), "voters", strings.Join(lo.Map(f.Voters, func(v *fb.VoterT, _ int) string { return v.Name }), ","))
-		}
-		r.vote(ctx)
-	}
-}
-
 // holds tells whether the very disk of this node votes in a roster.
-func (r *Node) holds(f *fb.FoundingT) bool {
-	return lo.ContainsBy(f.Voters, func(v *fb.VoterT) bool { return v.Name == r.s.Name && v.Inc == r.Inc() })
-}
+func (r *Node) holds(f *fb.FoundingT) bool { return heldBy(f, r.s.Name, r.Inc()) }
 
-// retire drops the state of a disk that a newer roster does not hold, and its
-// incarnation with it. The ring is restated as a checkpoint that holds nothing but the
-// new incarnation and whom to ask: until that is synced, the old state stands whole.
-func (r *Node) retire(f *fb.FoundingT) error {
-	inc, err := draw()
-	if err != nil {
-		return err
-	}
-	b := &fb.FoundingT{Inc: inc, Voters: f.Voters}
-	if err := r.ring.Checkpoint([][]byte{wire.Founding(b)}); err != nil {
-		return err
-	}
-	r.d.Log.Info("retired", "step", wire.Unroster(f).Step(), "inc", inc)
-	r.inc.Store(inc)
-	r.learn(addrs(f))
-	r.found.Store(nil)
-	r.node, r.recs, r.tight = nil, nil, false
-	for id, ch := range r.waiting {
-		delete(r.waiting, id)
-		ch <- quorum.Answer{Status: quorum.Unknown}
-	}
-	clear(r.senders)
-	for len(r.disk) > 0 {
-		<-r.disk
-	}
-	for len(r.retired) > 0 {
-		<-r.retired
-	}
-	r.done.Store(0)
-	r.full.Store(false)
-	r.ckpting.Store(false)
-	r.used.Store(int64(r.ring.Used()))
-	r.stats.Store(&stats{})
-	return nil
+// heldBy tells whether a disk votes in a roster.
+func heldBy(f *fb.FoundingT, name string, inc uint64) bool {
+	return lo.ContainsBy(f.Voters, func(v *fb.VoterT) bool { return v.Name == name && v.Inc == inc })
 }
 
 func addrs(f *fb.FoundingT) []string {
@@ -171,8 +111,8 @@
 // be let in by that.
 func (r *Node) ask(ctx context.Context, addr string, blank bool) *fb.FoundTellT {
 	t, err := r.book.At(addr).Call(ctx, &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc(), Blank: blank, First: r.s.Found}}, askLimit)
-	if err != nil {
-		return nil
+	if err != nil || t.FoundTell == nil || t.FoundTell.Inc == 0 {
+		return nil // who that is lies on a disk that was not read yet
 	}
 	return t.FoundTell
 }
--- /dev/null
+++ b/internal/app/control/writer.go
@@ -0,0 +1,205 @@
+package control
+
+import (
+	"context"
+
+	"violetthread/internal/taskgroup"
+	"violetthread/internal/wire"
+	"violetthread/quorum"
+	"violetthread/wal"
+)
+
+const (
+	checkpointPart = 1024 // records written between other changes
+	checkpointAt   = 350  // thousandths of the ring in use
+	tightAt        = 750  // from here on new changes are refused until a checkpoint made room
+	maxBatches     = 512  // that one sync covers
+	stallTicks     = 80   // ticks of the voter, two seconds, that one write and sync may take
+)
+
+// batch is what the voter wants on disk.
+type batch struct {
+	recs       [][]byte
+	checkpoint []quorum.Rec // or: the state at this point, to be restated
+}
+
+// record queues records for the disk. The voter never waits for it: one that falls this
+// far behind is stopped.
+func (r *Node) record(recs []quorum.Rec) {
+	if len(recs) == 0 || r.storage.lost {
+		return
+	}
+	b := batch{recs: make([][]byte, 0, len(recs))}
+	for _, rec := range recs {
+		b.recs = append(b.recs, wire.Rec(rec))
+	}
+	if !taskgroup.Offer(r.storage.pending, b) {
+		r.storage.lost = true
+		r.endVote(errBacklog)
+	}
+}
+
+// startWriter starts the loop that keeps the voter's records.
+func (r *Node) startWriter(ctx context.Context) {
+	st := &r.storage
+	done := make(chan struct{}, 1)
+	st.written = done
+	w := &writer{log: st.log, node: r}
+	r.startIO("disk.write", func() {
+		if err := w.run(ctx); err != nil {
+			r.endVote(err)
+		}
+		done <- struct{}{}
+	})
+}
+
+// writer appends what has gathered, syncs once for all of it, and says so. A checkpoint
+// goes out in parts between, so that it holds no change up for long.
+type writer struct {
+	node       *Node
+	log        *wal.Log
+	checkpoint []quorum.Rec // still to be written
+	under      bool         // a checkpoint has begun
+	operations int64
+}
+
+func (w *writer) run(ctx context.Context) error {
+	for {
+		batches, ok := w.gather(ctx)
+		if !ok {
+			return nil
+		}
+		w.operations++
+		w.node.storage.started.Store(w.operations)
+		err := w.write(batches)
+		w.node.storage.started.Store(0)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// gather waits for batches, unless a checkpoint is to go on.
+func (w *writer) gather(ctx context.Context) ([]batch, bool) {
+	var batches []batch
+	pending := w.node.storage.pending
+	if !w.under {
+		b, ok := taskgroup.Wait(ctx, pending)
+		if !ok {
+			return nil, false
+		}
+		batches = append(batches, b)
+	}
+	for len(pending) > 0 && len(batches) < maxBatches {
+		batches = append(batches, <-pending)
+	}
+	return batches, ctx.Err() == nil
+}
+
+func (w *writer) write(batches []batch) error {
+	var count uint64
+	for _, b := range batches {
+		if err := w.append(b); err != nil {
+			return err
+		}
+		count += uint64(len(b.recs))
+	}
+	if err := w.continueCheckpoint(); err != nil {
+		return err
+	}
+	if err := w.log.Sync(); err != nil {
+		return err
+	}
+	st := &w.node.storage
+	st.synced.Add(count)
+	st.used.Store(int64(w.log.Used()))
+	if w.log.Used() > checkpointAt && !w.under {
+		st.wants.Store(true)
+	}
+	// A word that finds no room is not missed: each tick looks as well.
+	taskgroup.Offer(w.node.in, w.node.onDisk)
+	return nil
+}
+
+func (w *writer) append(b batch) error {
+	if b.checkpoint != nil {
+		return w.beginCheckpoint(b.checkpoint)
+	}
+	for _, data := range b.recs {
+		if err := w.log.Append(data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *writer) beginCheckpoint(state []quorum.Rec) error {
+	founding := *w.node.found.Load()
+	founding.Inc = w.node.Inc()
+	if err := w.log.Begin(); err != nil {
+		return err
+	}
+	w.checkpoint, w.under = state, true
+	return w.log.Part([][]byte{wire.Founding(&founding)})
+}
+
+func (w *writer) continueCheckpoint() error {
+	if !w.under {
+		return nil
+	}
+	count := min(len(w.checkpoint), checkpointPart)
+	part := make([][]byte, 0, count)
+	for _, rec := range w.checkpoint[:count] {
+		part = append(part, wire.Rec(rec))
+	}
+	if err := w.log.Part(part); err != nil {
+		return err
+	}
+	if w.checkpoint = w.checkpoint[count:]; len(w.checkpoint) > 0 {
+		return nil
+	}
+	return w.endCheckpoint()
+}
+
+func (w *writer) endCheckpoint() error {
+	if err := w.log.End(); err != nil {
+		return err
+	}
+	w.under = false
+	w.node.d.Log.Info("checkpoint", "used_permille", w.log.Used())
+	w.node.storage.wants.Store(false)
+	w.node.storage.restate.Store(false)
+	return nil
+}
+
+// onDisk tells the voter what is synced, and queues a checkpoint that is wanted.
+func (r *Node) onDisk(now int64) {
+	st := &r.storage
+	if st.lost {
+		return // what was dropped never comes to lie on the disk, whatever is written after it
+	}
+	r.out(r.node.Synced(now, st.synced.Load()))
+	if st.wants.Load() && st.restate.CompareAndSwap(false, true) {
+		// Behind all records that the state follows from.
+		if !taskgroup.Offer(st.pending, batch{checkpoint: r.node.Checkpoint()}) {
+			st.restate.Store(false)
+		}
+	}
+}
+
+// stallWatch counts ticks of the voter during one operation of the disk. It counts ticks
+// and not time: a frozen process does not wait for its disk.
+type stallWatch struct {
+	operation int64
+	ticks     int
+}
+
+// stalled tells whether the operation under way has taken too long.
+func (s *stallWatch) stalled(operation int64) bool {
+	if operation == 0 || operation != s.operation {
+		s.operation, s.ticks = operation, 0
+		return false
+	}
+	s.ticks++
+	return s.ticks >= stallTicks
+}
--- a/internal/base/daemon.go
+++ b/internal/base/daemon.go
@@ -69,13 +69,14 @@
 // Daemon is one running process.
 type Daemon struct {
 	Program, Name string
-	Group          *taskgroup.Group
+	Group         *taskgroup.Group
 	Log           logr.Logger
 	Vitals        *prometheus.Registry
 	srv           *khttp.Server
 	app           atomic.Pointer[kratos.App]
 	ready         atomic.Pointer[string] // why it is not ready; nil when it is
 	stopping      atomic.Bool
+	failure       atomic.Pointer[error] // why the process ends by itself
 	drain         []func(ctx context.Context)
 	onStop        []func()
 	drainFor      time.Duration
@@ -156,6 +157,14 @@
 // comes first.
 func (d *Daemon) OnDrain(f func(ctx context.Context)) { d.drain = append(d.drain, f) }
 
+// Failed is why the process ends by itself, nil if it does not.
+func (d *Daemon) Failed() error {
+	if failure := d.failure.Load(); failure != nil {
+		return *failure
+	}
+	return nil
+}
+
 // Profile writes a processor profile until the daemon has stopped.
 func (d *Daemon) Profile(path string) error {
 	if path == "" {
@@ -195,15 +204,32 @@
 		}))
 	d.app.Store(app)
 	d.Log.Info("started", "version", Version)
-	err := app.Run()
+	var err error
+	if d.Failed() == nil {
+		err = app.Run()
+	}
 	d.Group.Stop()
 	for _, f := range d.onStop {
 		f()
 	}
 	d.Log.Info("stopped")
+	if failure := d.Failed(); failure != nil {
+		return failure
+	}
 	return err
 }
 
+// Fail ends the process as Stop does, with an error that Run returns and that names the
+// remedy: for what does not pass by itself.
+func (d *Daemon) Fail(err error) {
+	if !d.failure.CompareAndSwap(nil, &err) {
+		return
+	}
+	d.Log.Info("failed", "cause", err.Error())
+	d.SetReady(err.Error())
+	d.Stop()
+}
+
 // Stop ends the process as a signal would; Run then returns.
 func (d *Daemon) Stop() {
 	if a := d.app.Load(); a != nil {
--- a/internal/e2e/core_test.go
+++ b/internal/e2e/core_test.go
@@ -15,6 +15,7 @@
 	"violetthread/internal/taskgroup"
 	"violetthread/quorum"
 	"violetthread/schema/fb"
+	"violetthread/wal"
 )
 
 // core is a few real registrars over loopback that come, go and lose their disks.
@@ -28,7 +29,9 @@
 type machine struct {
 	s    control.Settings
 	node *control.Node
+	disk *sick
 	over sync.WaitGroup
+	err  error // of the life that ended last
 }
 
 // newCore makes n machines named a, b, c...; the first three are the seeds.
@@ -59,7 +62,12 @@
 	s := control.Defaults()
 	s.Name, s.Site, s.HTTP, s.Wire, s.Data, s.Drain = name, "north", c.port(), c.port(), c.t.TempDir(), 0
 	s.RingFiles, s.RingBytes, s.Patience = 16, 2<<20, 2_500_000
-	c.m[name] = &machine{s: s}
+	m := &machine{s: s, disk: newSick(nil)}
+	m.s.Disk = func(fs wal.FS) wal.FS {
+		m.disk.FS = fs
+		return m.disk
+	}
+	c.m[name] = m
 }
 
 func (c *core) start(name string, found bool) {
@@ -75,7 +83,7 @@
 	d := n.Daemon()
 	taskgroup.New(context.Background(), d.Log).Go("machine", func(context.Context) {
 		defer m.over.Done()
-		_ = d.Run()
+		m.err = d.Run()
 	})
 }
 
--- /dev/null
+++ b/internal/e2e/disk_test.go
@@ -0,0 +1,414 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"violetthread/internal/app/control"
+	"violetthread/quorum"
+	"violetthread/schema/fb"
+	"violetthread/wal"
+)
+
+// page is what a machine's HTTP interface answers to a path.
+func (c *core) page(name, path string) (int, string) {
+	a, err := http.Get("http://" + c.m[name].s.HTTP + path)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer a.Body.Close()
+	b, _ := io.ReadAll(a.Body)
+	return a.StatusCode, string(b)
+}
+
+func (c *core) diskState(name string) control.DiskState {
+	var f control.Fleet
+	_ = json.Unmarshal([]byte(c.fleet(c.m[name].s.HTTP)), &f)
+	return f.Disk
+}
+
+// try puts a value and returns how that ended.
+func (c *core) try(name, key, val string) quorum.Status {
+	a := c.m[name].node.Op(context.Background(), &fb.OpAskT{Kind: byte(quorum.OpPut), Key: key, Val: []byte(val), Expect: quorum.AnyRev})
+	return quorum.Status(a.Status)
+}
+
+// putSoon puts a value as an operator does, who tries again.
+func (c *core) putSoon(name, key, val string) {
+	c.t.Helper()
+	c.until(fmt.Sprintf("%s is put at %s", key, name), time.Now(), func() bool { return c.try(name, key, val) == quorum.Done })
+}
+
+// ownsNothing tells whether no slot has this owner, as another machine sees it.
+func (c *core) ownsNothing(name, seenBy string) bool {
+	var f control.Fleet
+	if json.Unmarshal([]byte(c.fleet(c.m[seenBy].s.HTTP)), &f) != nil || len(f.Slots) == 0 {
+		return false
+	}
+	for _, s := range f.Slots {
+		if s.Owner == name {
+			return false
+		}
+	}
+	return true
+}
+
+// saysWhy tells whether a machine is up, not ready, and tells the cause on all its pages.
+func (c *core) saysWhy(name, cause string) bool {
+	alive, _ := c.page(name, "/healthz")
+	ready, why := c.page(name, "/readyz")
+	_, metrics := c.page(name, "/metrics")
+	disk := c.diskState(name)
+	return alive == 200 && ready == 503 && strings.Contains(why, cause) && !disk.Usable && strings.Contains(disk.Cause, cause) &&
+		strings.Contains(metrics, "violetthread_disk_usable 0") && !c.m[name].node.Up()
+}
+
+var four = []string{"a", "b", "c", "d"}
+
+// sickDisks are troubles that pass, and what is said of them.
+var sickDisks = []struct{ how, cause string }{
+	{"full", "free space where data_dir lies"},
+	{"failing", "check the disk below data_dir"},
+	{"stalled", "the disk does not answer"},
+}
+
+// TestSickDiskStandsAside: a machine whose disk is full, fails or stalls stays up, gives
+// up what it owns, passes on what it is asked, says why, and comes back by itself with
+// its own incarnation.
+func TestSickDiskStandsAside(t *testing.T) {
+	for _, sickness := range sickDisks {
+		t.Run(sickness.how, func(t *testing.T) {
+			c := newCore(t, 4)
+			c.until("the fleet is whole", time.Now(), func() bool { return c.whole(four...) })
+			c.putSoon("b", "plan", "v1")
+			inc := c.m["a"].node.Inc()
+			at := time.Now()
+			c.m["a"].disk.turn(sickness.how)
+			for i := 0; !c.saysWhy("a", sickness.cause); i++ {
+				c.try("b", fmt.Sprint("key", i%32), "x") // so that there is something to write
+			}
+			c.bound("it stands aside", time.Since(at), 8*time.Second)
+			c.until("it owns nothing", time.Now(), func() bool { return c.ownsNothing("a", "b") })
+			c.putSoon("b", "plan", "v2")
+			c.putSoon("a", "plan", "v3") // passed on
+			c.reads("a", "plan", "v3")
+			c.reads("c", "plan", "v3")
+
+			at = time.Now()
+			c.m["a"].disk.turn("")
+			c.bound("it is back", c.until("it is back", at, func() bool { return c.whole(four...) }), 8*time.Second)
+			if c.m["a"].node.Inc() != inc {
+				t.Fatal("it came back as another")
+			}
+			if _, m := c.page("a", "/metrics"); !strings.Contains(m, "violetthread_disk_usable 1") || strings.Contains(m, "violetthread_disk_troubles_total 0") {
+				t.Fatal("metrics do not tell that the disk had trouble and is usable")
+			}
+			c.kill("d") // now its vote is needed, and has all it must have
+			c.until("its vote counts", time.Now(), func() bool { return c.owned("a") })
+			c.reads("a", "plan", "v3")
+			c.putSoon("a", "plan", "v4")
+		})
+	}
+}
+
+// TestAllDisksSick: with no disk that takes writes nothing is confirmed, nobody ends, and
+// with room again all that was confirmed is there.
+func TestAllDisksSick(t *testing.T) {
+	c := newCore(t, 3)
+	all := four[:3]
+	c.until("the fleet is whole", time.Now(), func() bool { return c.whole(all...) })
+	c.putSoon("b", "plan", "v1")
+	for _, n := range all {
+		c.m[n].disk.turn("full")
+	}
+	for i := range 6 {
+		if s := c.try(all[i%3], "plan", "never"); s == quorum.Done {
+			t.Fatal("a change was confirmed that no disk holds")
+		}
+	}
+	for _, n := range all {
+		if st, _ := c.page(n, "/healthz"); st != 200 {
+			t.Fatalf("%s ended", n)
+		}
+	}
+	at := time.Now()
+	for _, n := range all {
+		c.m[n].disk.turn("")
+	}
+	c.bound("all are back", c.until("all are back", at, func() bool { return c.whole(all...) }), 10*time.Second)
+	// What was answered "unknown" may have taken effect, nothing else.
+	a := c.m["a"].node.Op(context.Background(), &fb.OpAskT{Kind: byte(quorum.OpGet), Key: "plan"})
+	if v := string(a.Val); quorum.Status(a.Status) != quorum.Done || v != "v1" && v != "never" {
+		t.Fatalf("read %d %q", a.Status, v)
+	}
+	c.putSoon("a", "plan", "v2")
+	c.kill(all...)
+	for _, n := range all {
+		c.start(n, false)
+	}
+	c.until("all are back from their disks", time.Now(), func() bool { return c.whole(all...) })
+	c.reads("c", "plan", "v2")
+}
+
+// TestStartWithSickDisk: a machine that starts with a disk that takes no writes waits,
+// says so and passes on what it is asked; it votes as soon as there is room. The same
+// for one whose disk is blank.
+func TestStartWithSickDisk(t *testing.T) {
+	for _, sickness := range sickDisks {
+		t.Run(sickness.how, func(t *testing.T) {
+			c := newCore(t, 4)
+			c.until("the fleet is whole", time.Now(), func() bool { return c.whole(four...) })
+			c.putSoon("b", "plan", "v1")
+			inc := c.m["d"].node.Inc()
+			c.kill("d", "c")
+			c.wipe("c")
+			for _, n := range []string{"d", "c"} {
+				c.m[n].disk.turn(sickness.how)
+				c.start(n, false)
+			}
+			for _, n := range []string{"d", "c"} {
+				c.until(n+" says why it waits", time.Now(), func() bool { return c.saysWhy(n, sickness.cause) })
+			}
+			if s := c.try("a", "plan", "never"); s == quorum.Done {
+				t.Fatal("two of four confirmed a change")
+			}
+			at := time.Now()
+			c.m["d"].disk.turn("")
+			c.bound("it votes", c.until("it votes", at, func() bool { return c.m["d"].node.Up() }), 8*time.Second)
+			if c.m["d"].node.Inc() != inc {
+				t.Fatal("it came back as another")
+			}
+			c.until("three own all", time.Now(), func() bool { return c.owned("a") })
+			c.putSoon("c", "plan", "v2") // passed on by one that never had a disk
+			c.reads("d", "plan", "v2")
+			c.m["c"].disk.turn("")
+			c.until("all are back", time.Now(), func() bool { return c.whole(four...) })
+			c.reads("c", "plan", "v2")
+		})
+	}
+}
+
+// TestStopWhileStalled: a polite stop does not wait for a disk that does not answer, and
+// no other process gets the folder while a write may still be under way.
+func TestStopWhileStalled(t *testing.T) {
+	c := newCore(t, 3)
+	all := four[:3]
+	c.until("the fleet is whole", time.Now(), func() bool { return c.whole(all...) })
+	c.m["a"].disk.turn("stalled")
+	for i := 0; c.m["a"].node.Up(); i++ {
+		c.try("b", fmt.Sprint("key", i%32), "x")
+	}
+	at := time.Now()
+	m := c.m["a"]
+	m.node.Daemon().Stop()
+	m.over.Wait()
+	c.bound("it stops", time.Since(at), 4*time.Second)
+	c.start("a", false)
+	m.over.Wait()
+	if m.err == nil || !strings.Contains(m.err.Error(), "another process uses") {
+		t.Fatalf("a second life beside a write under way: %v", m.err)
+	}
+	m.node = nil
+	m.disk.turn("")
+	c.until("it is back", time.Now(), func() bool {
+		if m.node == nil || m.node.Daemon().Failed() != nil {
+			c.kill("a")
+			c.start("a", false)
+		}
+		return c.whole(all...)
+	})
+}
+
+// ringFile is a file of a machine's ring.
+func (c *core) ringFile(name string, index int) string {
+	return filepath.Join(c.m[name].s.Data, "ring", fmt.Sprintf("ring-%03d", index))
+}
+
+// TestLostMedium: a disk that comes back without what it had confirmed is not trusted
+// again. The process ends once, with the remedy, and does not vote; neither does its
+// next life.
+func TestLostMedium(t *testing.T) {
+	c := newCore(t, 3)
+	all := four[:3]
+	c.until("the fleet is whole", time.Now(), func() bool { return c.whole(all...) })
+	c.putSoon("b", "plan", "v1")
+	m := c.m["c"]
+	m.disk.turn("failing")
+	for i := 0; m.node.Up(); i++ {
+		c.try("b", fmt.Sprint("key", i%32), "x")
+	}
+	whole, err := os.ReadFile(c.ringFile("c", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	clear(whole[64:]) // all but the header is gone
+	if err := os.WriteFile(c.ringFile("c", 1), whole, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	m.disk.turn("")
+	m.over.Wait()
+	if m.err == nil || !strings.Contains(m.err.Error(), "rejoin as an empty node") {
+		t.Fatalf("it ended with %v", m.err)
+	}
+	m.node = nil
+	c.putSoon("a", "plan", "v2")
+}
+
+// TestDamagedRing: a machine whose ring is cut, damaged or of another format ends with a
+// remedy, changes nothing on its disk, and never votes; with an empty disk it joins anew.
+func TestDamagedRing(t *testing.T) {
+	for _, damage := range []struct {
+		name, remedy string
+		do           func(t *testing.T, path string)
+	}{
+		{"cut", "a file was cut", func(t *testing.T, path string) { must(t, os.Truncate(path, 1<<20)) }},
+		{"header", "rejoin as an empty node", func(t *testing.T, path string) { flip(t, path, 9) }},
+		{"record", "rejoin as an empty node", func(t *testing.T, path string) { flip(t, path, 60) }},
+	} {
+		t.Run(damage.name, func(t *testing.T) {
+			c := newCore(t, 3)
+			all := four[:3]
+			c.until("the fleet is whole", time.Now(), func() bool { return c.whole(all...) })
+			c.putSoon("b", "plan", "v1")
+			c.kill("c")
+			damage.do(t, c.ringFile("c", 1))
+			before, _ := os.ReadFile(c.ringFile("c", 1))
+			c.start("c", false)
+			m := c.m["c"]
+			m.over.Wait()
+			if m.err == nil || !strings.Contains(m.err.Error(), damage.remedy) || m.node.Up() {
+				t.Fatalf("it ended with %v", m.err)
+			}
+			m.node = nil
+			if after, _ := os.ReadFile(c.ringFile("c", 1)); string(after) != string(before) {
+				t.Fatal("the damaged file was changed")
+			}
+			c.wipe("c")
+			c.start("c", false)
+			c.until("it joined anew", time.Now(), func() bool { return c.whole(all...) })
+			c.reads("c", "plan", "v1")
+		})
+	}
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func flip(t *testing.T, path string, at int) {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	must(t, err)
+	b[at] ^= 1
+	must(t, os.WriteFile(path, b, 0o600))
+}
+
+// TestWrongSeeds: seeds that are this node itself, all dead, or of another fleet. One that
+// knows its fleet goes back there whatever the seeds say; one that knows none says what
+// to do, and founds nothing.
+func TestWrongSeeds(t *testing.T) {
+	c, other := newCore(t, 3), newCore(t, 3)
+	all := four[:3]
+	c.until("the fleet is whole", time.Now(), func() bool { return c.whole(all...) })
+	other.until("the other fleet is whole", time.Now(), func() bool { return other.whole(all...) })
+	c.putSoon("a", "plan", "v1")
+	other.putSoon("a", "plan", "foreign")
+	inc := c.m["c"].node.Inc()
+	for name, seeds := range map[string][]string{
+		"itself":        {c.m["c"].s.Wire},
+		"dead":          {c.port(), c.port()},
+		"another fleet": other.seeds,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.kill("c")
+			c.seeds = seeds
+			c.start("c", false)
+			c.until("it is back in its fleet", time.Now(), func() bool { return c.whole(all...) })
+			c.reads("c", "plan", "v1")
+			if c.m["c"].node.Inc() != inc || len(other.m["a"].node.Voters()) != 3 {
+				t.Fatal("it joined another fleet")
+			}
+			// Alone with such seeds it neither votes with others nor answers for them.
+			c.kill("a", "b")
+			if s := c.try("c", "plan", "alone"); s == quorum.Done {
+				t.Fatal("one of three confirmed a change")
+			}
+			c.start("a", false)
+			c.start("b", false)
+			c.until("all are back", time.Now(), func() bool { return c.whole(all...) })
+			c.reads("b", "plan", "v1")
+		})
+	}
+	for name, seeds := range map[string][]string{"itself": nil, "dead": {c.port(), c.port()}} {
+		t.Run("blank, "+name, func(t *testing.T) {
+			c.machine("blank")
+			if c.seeds = seeds; seeds == nil {
+				c.seeds = []string{c.m["blank"].s.Wire}
+			}
+			c.start("blank", false)
+			c.until("it says what to do", time.Now(), func() bool {
+				st, why := c.page("blank", "/readyz")
+				return st == 503 && strings.Contains(why, "no founded fleet is reachable")
+			})
+			if c.m["blank"].node.Up() || c.m["blank"].node.Voters() != nil {
+				t.Fatal("it votes in a fleet of its own")
+			}
+			c.kill("blank")
+		})
+	}
+}
+
+// TestRemovedRing: a machine whose files in use were removed is one whose disk was lost:
+// it joins as another, and never votes with its former number.
+func TestRemovedRing(t *testing.T) {
+	c := newCore(t, 3)
+	all := four[:3]
+	c.until("the fleet is whole", time.Now(), func() bool { return c.whole(all...) })
+	c.putSoon("b", "plan", "v1")
+	inc := c.m["c"].node.Inc()
+	c.kill("c")
+	must(t, os.Remove(c.ringFile("c", 1)))
+	c.start("c", false)
+	c.until("it joined anew", time.Now(), func() bool { return c.whole(all...) })
+	if c.m["c"].node.Inc() == inc {
+		t.Fatal("it votes with its former number")
+	}
+	c.reads("c", "plan", "v1")
+}
+
+// TestNameTwice: a machine with the name of one that voted and a disk of its own takes
+// the seat; the former comes back and drops its number before it votes again.
+func TestNameTwice(t *testing.T) {
+	c := newCore(t, 3)
+	all := four[:3]
+	c.until("the fleet is whole", time.Now(), func() bool { return c.whole(all...) })
+	c.putSoon("a", "plan", "v1")
+	former := c.m["b"]
+	inc := former.node.Inc()
+	c.kill("b")
+	c.machine("b")
+	c.start("b", false)
+	c.until("the second of the name is in", time.Now(), func() bool { return c.whole(all...) })
+	c.m["former"] = former
+	c.start("former", false)
+	c.until("the former has dropped its number", time.Now(), func() bool {
+		now := former.node.Inc()
+		return now != 0 && now != inc
+	})
+	c.kill("former")
+	c.putSoon("a", "plan", "v2")
+	c.reads("c", "plan", "v2")
+}
+
+var _ wal.FS = (*sick)(nil)
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -50,7 +50,8 @@
 	return out
 }
 
-// sick is a disk that stalls, fills up or fails when told to.
+// sick is a disk that stalls, fills up or fails when told to. A full one takes part of
+// what is written to it.
 type sick struct {
 	wal.FS
 	mu   sync.Mutex
@@ -93,13 +94,21 @@
 }
 
 func (d *sick) Open(name string, size int64) (wal.File, error) {
+	has, err := d.FS.Size(name)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.pass(has < size); err != nil && has < size {
+		return nil, err
+	}
 	f, err := d.FS.Open(name, size)
 	return sickFile{f, d}, err
 }
 
 func (f sickFile) WriteAt(b []byte, o int64) (int, error) {
 	if err := f.d.pass(true); err != nil {
-		return 0, err
+		n, _ := f.File.WriteAt(b[:len(b)/2], o)
+		return n, err
 	}
 	return f.File.WriteAt(b, o)
 }
@@ -523,8 +532,11 @@
 		r.until("a plan is acknowledged beside a stalled disk", func() bool { return put(other, n) })
 	}
 	r.disks[sickly].turn("failing") // and now it is gone for good
-	r.until("its registrar has left", func() bool { return !r.stop[fmt.Sprint("registrar", sickly)].Ready() })
-	delete(r.stop, fmt.Sprint("registrar", sickly))
+	r.until("its registrar votes no more", func() bool { return !r.stop[fmt.Sprint("registrar", sickly)].Ready() })
+	serves := func(i int) bool { st, _ := r.get(r.registrars[i] + "/healthz"); return st == 200 }
+	if !serves(sickly) {
+		t.Fatal("the registrar of a failing disk has ended")
+	}
 	r.until("the plan has another owner", func() bool { o := owner(); return o >= 0 && o != sickly && put(o, 6) })
 	for i := range r.registrars {
 		if i == sickly {
@@ -546,9 +558,24 @@
 			left = i
 		}
 	}
-	r.until("the full one has left", func() bool { put(left, 7); return !r.stop[fmt.Sprint("registrar", full)].Ready() })
-	delete(r.stop, fmt.Sprint("registrar", full))
+	r.until("the full one votes no more", func() bool { put(left, 7); return !r.stop[fmt.Sprint("registrar", full)].Ready() })
 	if put(left, 8) {
 		t.Fatal("two of four acknowledged a plan")
 	}
+	if !serves(full) {
+		t.Fatal("the registrar of a full disk has ended")
+	}
+	// With room again and a disk that works again all is as before.
+	r.disks[full].turn("")
+	r.disks[sickly].turn("")
+	for _, i := range []int{sickly, full} {
+		r.until("it votes again", func() bool { return r.stop[fmt.Sprint("registrar", i)].Ready() })
+	}
+	r.until("a plan is acknowledged again", func() bool { return put(full, 9) })
+	for i := range r.registrars {
+		r.until("what was acknowledged last is read back", func() bool {
+			_, b := r.get(r.registrars[i] + "/v1/plan")
+			return strings.Contains(b, `"n":9`) && strings.Contains(b, "123456789012345678901234567890")
+		})
+	}
 }
--- a/quorum/lease.go
+++ b/quorum/lease.go
@@ -102,18 +102,7 @@
 func (n *Node) Leave(now int64) Out {
 	var o Out
 	n.leaving = true
-	var ms []Mark
-	for i, s := range n.slots {
-		if s.st == idle {
-			continue
-		}
-		ms = append(ms, Mark{Slot: uint16(i), Epoch: s.epoch})
-		n.retreat(now, s, &o) // stopped here first; only then is it told
-		s.heldUntil = now
-	}
-	if len(ms) > 0 {
-		n.others(func(v string) { n.send(&o, v, Msg{Kind: Yield, Marks: ms}) })
-	}
+	n.yieldSlots(now, &o)
 	n.others(func(v string) { n.send(&o, v, Msg{Kind: Leaving}) })
 	return o
 }
