A proxy leaves a control node that knows no configuration for the others

Ruled out: ages (they were right), the node's own part (it claims nothing).

Change: no configuration counts as out of touch (TestBehind asked for the opposite, which was wrong: replaced); among nodes that failed lately the one tried longest ago goes first, whatever its zone, so that none is clung to, and such a question is held for 50 ms only.

Tests: TestCutOffNodeIsNotClungTo, TestBehind; both fail on the code before.

--- a/internal/app/proxy/follow.go
+++ b/internal/app/proxy/follow.go
@@ -18,6 +18,7 @@
 	followHold    = 250_000   // how long a directory node may hold a question
 	followPatient = 450_000   // and how long its answer may take beyond
 	unusedFor     = 1_500_000 // a node that failed or fell behind is not asked first for so long
+	retryHold     = 50_000    // how long such a node may hold a question, while there is no other
 
 	// A node whose word is older than this is cut off from the owner of a register, and
 	// another one is asked.
@@ -129,9 +130,10 @@
 	return nil, false
 }
 
-// behind reports whether a node is out of touch with the owner of a register.
+// behind reports whether a node is out of touch with the owner of a register. One that
+// was restarted while it is cut off knows no configuration at all.
 func behind(t *fb.MapTellT) bool {
-	return t.Known && (t.Age > staleRegister || t.NamedAge > staleRegister)
+	return !t.Known || t.Age > staleRegister || t.NamedAge > staleRegister
 }
 
 // age is how long ago the configuration was known to be in force.
@@ -184,35 +186,52 @@
 	for a := range f.nodes {
 		l = append(l, a)
 	}
-	rank := func(a string) (n int) {
-		x := f.nodes[a]
-		if x.badAt > 0 && now-x.badAt < unusedFor {
-			n += 4
-		}
-		if x.staleListAt > 0 && now-x.staleListAt < staleListAgain {
-			n += 4
-		}
-		switch {
-		case x.site == f.c.s.Site:
-		case x.site == "":
-			n++ // worth finding out
-		default:
-			n += 2
-		}
-		if a == f.current {
-			n--
-		}
-		return n
-	}
-	sort.Slice(l, func(i, j int) bool {
-		if a, b := rank(l[i]), rank(l[j]); a != b {
-			return a < b
-		}
-		return score(f.c.s.Name, l[i]) < score(f.c.s.Name, l[j])
-	})
+	sort.Slice(l, func(i, j int) bool { return f.before(now, l[i], l[j]) })
 	return l
 }
 
+// failedLately reports whether the node failed, or was out of touch, a short while ago.
+func (x *directoryNode) failedLately(now int64) bool {
+	return x.badAt > 0 && now-x.badAt < unusedFor
+}
+
+// before reports whether node a is to be asked before node b. Among those that failed
+// lately the one that was tried longest ago goes first, so that none is clung to: a node
+// that is cut off answers at once, and others may have come back meanwhile.
+func (f *follower) before(now int64, a, b string) bool {
+	x, y := f.nodes[a], f.nodes[b]
+	xFailed, yFailed := x.failedLately(now), y.failedLately(now)
+	if xFailed != yFailed {
+		return yFailed
+	}
+	if xFailed && x.badAt != y.badAt {
+		return x.badAt < y.badAt
+	}
+	if p, q := f.rank(now, a), f.rank(now, b); p != q {
+		return p < q
+	}
+	return score(f.c.s.Name, a) < score(f.c.s.Name, b)
+}
+
+// rank orders nodes that answered last time, the lowest first.
+func (f *follower) rank(now int64, a string) (n int) {
+	x := f.nodes[a]
+	if x.staleListAt > 0 && now-x.staleListAt < staleListAgain {
+		n += 4
+	}
+	switch {
+	case x.site == f.c.s.Site:
+	case x.site == "":
+		n++ // worth finding out
+	default:
+		n += 2
+	}
+	if a == f.current {
+		n--
+	}
+	return n
+}
+
 func (f *follower) ask(ctx context.Context) bool {
 	now := clock.Now()
 	l := f.order(now)
@@ -221,8 +240,11 @@
 	}
 	a := l[0]
 	hold := int64(followHold)
-	if f.c.view.Load().table == nil || f.nodes[a].site == "" {
+	switch {
+	case f.c.view.Load().table == nil || f.nodes[a].site == "":
 		hold = 0
+	case f.nodes[a].failedLately(now):
+		hold = retryHold
 	}
 	q := &fb.MapAskT{Node: f.c.self(), Inc: f.inc, Have: f.have, Map: f.mapRev, NewsInc: f.newsInc, NewsSince: f.newsNext, Hold: hold, Loads: f.c.loads()}
 	r, err := f.c.book.At(a).Call(ctx, &fb.FrameT{MapAsk: q}, hold+followPatient)
@@ -231,34 +253,37 @@
 	}
 	x := f.nodes[a]
 	if err != nil || r.MapTell == nil {
-		x.badAt = clock.Now()
-		if f.current == a {
-			f.c.d.Log.Info("directory_lost", "directory", a)
-			f.current = ""
-		}
+		f.leave(a)
 		return len(l) > 1
 	}
 	t := r.MapTell
 	x.site, x.badAt = t.Site, 0
-	if f.current != a {
-		f.c.d.Log.Info("directory", "directory", a, "site", t.Site)
-		f.current = a
-	}
 	// The answer left the node no sooner than it had held the question.
 	f.take(t, now+t.Held)
-	if behind(t) {
-		x.badAt = clock.Now()
-	}
 	if t.ListAge > staleList && now-x.staleListAt > staleListAgain {
 		x.staleListAt = clock.Now()
 	}
 	f.learn(t.Voters, !behind(t))
-	if !t.Known {
+	if behind(t) {
+		f.leave(a)
 		return false
 	}
+	if f.current != a {
+		f.c.d.Log.Info("directory", "directory", a, "site", t.Site)
+		f.current = a
+	}
 	return true
 }
 
+// leave lets others be asked before a node that failed or is out of touch.
+func (f *follower) leave(a string) {
+	f.nodes[a].badAt = clock.Now()
+	if f.current == a {
+		f.c.d.Log.Info("directory_lost", "directory", a)
+		f.current = ""
+	}
+}
+
 // learn takes in which control nodes there are. Only a node that is in touch is believed
 // that others have gone: one that is cut off may know an old roster.
 func (f *follower) learn(voters []string, inTouch bool) {
