A conductor made anew under its own hold waits out no lease again

Cause: when the write of a roll-out's state fails, the state is read again and a new conductor made. That took its own earlier orders for another holder's and gave those engines nothing for 3.5 s; what was written as ordered and never sent waited 4 s more.

Ruled out: the polite stop's wait for orders (the duty was granted anew within 40 ms); the holder's own lease (the fence stood).

Change: Conductor.Resume counts the wait from when this hold first conducted, and takes over when each engine was last sent an order. The same fence means that nobody else held the duty.

--- a/internal/app/directory/conduct.go
+++ b/internal/app/directory/conduct.go
@@ -35,6 +35,8 @@
 	leaving     bool                          // the duty is given back and not asked for again
 	sending     sync.WaitGroup                // orders under way
 	since       int64                         // when this node came to hold it
+	began       int64                         // when it first conducted under this hold
+	sent        map[string]int64              // when an engine was last sent an order under this hold
 	conductor   *rollout.Conductor
 	stateRev    uint64 // of the roll-out's register as written here
 }
@@ -68,6 +70,9 @@
 	if changed && !t.saveState(ctx, d) {
 		return
 	}
+	for _, o := range orders {
+		d.sent[o.Engine] = now
+	}
 	t.send(orders, lease.Fence)
 	for _, id := range inspect {
 		if now-d.inspectedAt[id] >= inspectEvery {
@@ -88,8 +93,13 @@
 		t.log.Info("rollout_unreadable", "cause", err.Error())
 	}
 	figures := rollout.Defaults(t.settings.Bounds.VersionApplyUS, t.settings.Bounds.LeaseUS)
-	t.duty.conductor = rollout.New(figures, now, t.duty.since, state)
-	t.duty.stateRev = a.Rev
+	d := t.duty
+	d.conductor, d.stateRev = rollout.New(figures, now, d.since, state), a.Rev
+	if d.began == 0 {
+		d.began = now
+	} else {
+		d.conductor.Resume(d.began, d.sent)
+	}
 	return true
 }
 
@@ -157,6 +167,7 @@
 	}
 	if a.Rev != lease.Fence {
 		d.conductor, d.since = nil, now-unsettledFor
+		d.began, d.sent = 0, map[string]int64{}
 		t.log.Info("duty", "key", WeightsDuty, "fence", a.Rev)
 	}
 	d.lease.Store(&rollout.Lease{Fence: a.Rev, Until: now + term - leaseSlack})
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -107,7 +107,7 @@
 		control:     control,
 		platform:    platform,
 		incarnation: incarnation,
-		duty:        &dutyHolder{inspectedAt: map[string]int64{}, holder: fmt.Sprintf("%s#%x", s.Name, incarnation)},
+		duty:        &dutyHolder{inspectedAt: map[string]int64{}, sent: map[string]int64{}, holder: fmt.Sprintf("%s#%x", s.Name, incarnation)},
 		changed:     make(chan struct{}),
 		mapRev:      1,
 		startedAt:   clock.Now(),
--- a/rollout/lease_test.go
+++ b/rollout/lease_test.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 func TestLeasePermits(t *testing.T) {
 	lease := Lease{Fence: 7, Until: 5_000_000}
@@ -26,3 +29,45 @@
 		t.Error("a lease that was given back permits")
 	}
 }
+
+// A conductor that is made anew under the same hold, since its state could not be written,
+// does not wait another lease out, nor say again what it has just said.
+func TestResumeUnderTheSameHold(t *testing.T) {
+	const began, now = 100_000_000, 110_000_000
+	figures := Defaults(12_000_000, 3_000_000)
+	state := State{
+		Turns: map[string]Turn{
+			"said":   {Model: "m", Version: 2, Phase: Ordered},
+			"unsaid": {Model: "m", Version: 2, Phase: Ordered},
+		},
+		Done: map[string]map[string]uint64{"turned": {"m": 1}},
+	}
+	engines := []Engine{
+		{ID: "said", Weights: map[string]uint64{"m": 1}},
+		{ID: "turned", Weights: map[string]uint64{"m": 1}},
+		{ID: "unsaid", Weights: map[string]uint64{"m": 1}},
+	}
+	ordered := func(c *Conductor, now int64) (ids []string) {
+		orders, _, _ := c.Step(now, engines)
+		for _, o := range orders {
+			ids = append(ids, o.Engine)
+		}
+		return ids
+	}
+	resumed := func(began int64) *Conductor {
+		c := New(figures, now, began, State{Turns: map[string]Turn{"said": state.Turns["said"], "unsaid": state.Turns["unsaid"]}, Done: state.Done})
+		c.Resume(began, map[string]int64{"said": now - 1_000_000})
+		c.Name("m", 2, began)
+		return c
+	}
+	if got := ordered(resumed(began), now); !slices.Equal(got, []string{"unsaid"}) {
+		t.Errorf("orders to %v, want one to the engine that was sent none", got)
+	}
+	if got := ordered(resumed(began), now-1_000_000+figures.Again); !slices.Contains(got, "said") {
+		t.Errorf("orders to %v, the one without an answer is not said again", got)
+	}
+	// Right after the duty changed hands, another holder's orders may still be young.
+	if got := ordered(resumed(now-figures.Lease+1), now); len(got) != 0 {
+		t.Errorf("orders to %v within the lease of the holder before", got)
+	}
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -127,6 +127,20 @@
 	return c
 }
 
+// Resume tells a new conductor that its maker has conducted before under the very same
+// hold of the duty, since began, and when it last sent an order to each engine. What was
+// ordered in that time was its own, so that no other holder's lease is to be waited out
+// anew; and an order that is written as given but was never sent goes out at once.
+func (c *Conductor) Resume(began int64, sent map[string]int64) {
+	c.alien = began + c.F.Lease
+	for id, t := range c.S.Turns {
+		if t.Phase == Ordered {
+			t.Told = sent[id]
+			c.S.Turns[id] = t
+		}
+	}
+}
+
 // Name takes in the newest version of a model, and since when it is known.
 func (c *Conductor) Name(model string, version uint64, at int64) {
 	n := c.named[model]
