--- a/sim/config_operator.go
+++ b/sim/config_operator.go
@@ -189,6 +189,8 @@
 	*Host
 	core    *Core
 	history *ConfigHistory
+	// Only are the nodes that it reads at, nil for any.
+	Only []*Registrar
 }
 
 // NewConfigReader adds a reader.
@@ -199,7 +201,10 @@
 }
 
 func (r *ConfigReader) read() {
-	nodes := r.core.Nodes
+	nodes := r.Only
+	if nodes == nil {
+		nodes = r.core.Nodes
+	}
 	node := nodes[r.core.w.Rng.Intn(len(nodes))]
 	r.readAt(node, func(bool) {})
 }
--- a/sim/day_cutoff.go
+++ b/sim/day_cutoff.go
@@ -13,6 +13,8 @@
 	// ownerBound is the longest that nobody may answer for a register while a majority
 	// is in touch.
 	ownerBound = 2_000_000
+	// insideReadEvery is between two reads on the side that is cut off.
+	insideReadEvery = 60_000
 	// calmBetween two cuts, once all is back.
 	calmBetween = 1_500_000
 )
@@ -23,6 +25,7 @@
 type CutoffDay struct {
 	*ConfigWorld
 	inside *ConfigOperator // on the side that is cut off
+	reader *ConfigReader   // likewise, and reads there as long as it is
 	onSide []*ConfigProxy
 }
 
@@ -73,6 +76,8 @@
 	for _, o := range d.Operators {
 		o.Pause = 400_000
 	}
+	d.AddReaders(1, insideReadEvery)
+	d.reader = d.Readers[2]
 	d.inside = d.Operators[0]
 	d.onSide = d.Proxies[:2]
 	return d
@@ -83,7 +88,7 @@
 func (d *CutoffDay) cut(p Partition, r *CutoffResult) {
 	w := d.World
 	machines := d.choose(r.Cuts%2 == 0)
-	inside := []*Host{d.inside.Host}
+	inside := []*Host{d.inside.Host, d.reader.Host}
 	for _, proxy := range d.onSide {
 		inside = append(inside, proxy.Host)
 	}
@@ -91,8 +96,13 @@
 		inside = append(inside, m.Host)
 	}
 	w.CutOff(p, inside)
+	if p == PartitionForgot {
+		d.restartOutside(machines)
+	}
+	d.reader.Only = machines
 	d.watchGap(w.now+cutLasts, r)
 	w.Rejoin(inside)
+	d.reader.Only = nil
 	w.Note("healed")
 	r.Cuts++
 	missing := d.back(machines)
@@ -104,6 +114,18 @@
 	w.Run(w.now + calmBetween)
 }
 
+// restartOutside ends the control nodes on the other side, which come back at once and
+// know of no lease that they granted.
+func (d *CutoffDay) restartOutside(machines []*Registrar) {
+	w := d.World
+	for _, r := range d.Core.Nodes {
+		if !slices.Contains(machines, r) {
+			r.Kill()
+			w.At(w.now+1_000+w.Rng.Int63n(30_000), r.restart)
+		}
+	}
+}
+
 // choose picks the machines to cut off, among them the configuration's owner if asked for.
 func (d *CutoffDay) choose(owner bool) []*Registrar {
 	w := d.World
--- a/sim/day_cutoff_test.go
+++ b/sim/day_cutoff_test.go
@@ -43,7 +43,7 @@
 func seconds(us int64) string { return fmt.Sprintf("%.2f s", float64(us)/1e6) }
 
 // TestCutoffDays: a control machine, or as many as may be lost, is cut off for 20 s twice
-// a day, five times in each way with VT_SEEDS. No answer vouches for an older configuration than the last
+// a day, in each of six ways with VT_SEEDS. No answer vouches for an older configuration than the last
 // one acknowledged, no confirmation is lost, no order is refused wrongly, and all is
 // back within a bound.
 func TestCutoffDays(t *testing.T) {
--- a/sim/partition.go
+++ b/sim/partition.go
@@ -10,10 +10,11 @@
 	PartitionHeard  Partition = "heard"  // those inside are heard, and hear nothing
 	PartitionReset  Partition = "reset"  // nothing passes, and connections are reset
 	PartitionFrozen Partition = "frozen" // those inside stand still, and what arrives waits
+	PartitionForgot Partition = "forgot" // silent, and the control nodes outside restart at once
 )
 
 // Partitions lists them all.
-var Partitions = []Partition{PartitionSilent, PartitionHears, PartitionHeard, PartitionReset, PartitionFrozen}
+var Partitions = []Partition{PartitionSilent, PartitionHears, PartitionHeard, PartitionReset, PartitionFrozen, PartitionForgot}
 
 // CutOff cuts the hosts inside off from all others. Rejoin ends it.
 func (w *World) CutOff(p Partition, inside []*Host) {
