--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -59,6 +59,7 @@
 	inc     atomic.Uint64
 	found   atomic.Pointer[fb.FoundingT]
 	retired chan struct{} // a newer roster does not hold this disk
+	rejoins atomic.Bool   // it was in a roster once, and lost its place
 	frames  atomic.Pointer[[]link.Handler]
 	mu      sync.Mutex
 	known   []string // addresses to ask while this disk is in no roster
