--- a/cmd/dealer/main.go
+++ b/cmd/dealer/main.go
@@ -22,12 +22,12 @@
 )
 
 type tool struct {
-	at, file, rev, key string
-	wait               int
-	nodes              string
-	old, addr          string
-	json, follow, all  bool
-	http               *http.Client
+	at, file, rev     string
+	wait              int
+	nodes             string
+	old, addr         string
+	json, follow, all bool
+	http              *http.Client
 }
 
 func main() {
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -32,12 +32,12 @@
 		}
 		// The lane is held while the claim is asked for, so that a granted
 		// claim finds its room.
-		if l := d.pick(now, w); l == nil {
+		l := d.pick(now, w)
+		if l == nil {
 			break
-		} else {
-			w.lane = l
-			l.active++
 		}
+		w.lane = l
+		l.active++
 		d.q.Take(g, it.ID)
 		w.queued, w.taken = false, true
 		acts = append(acts, d.move(now, w)...)
--- a/fairqueue/queue_test.go
+++ b/fairqueue/queue_test.go
@@ -45,7 +45,7 @@
 			c := map[string]int{}
 			var order []string
 			for i := 0; i < n; i++ {
-				g, it, ok := q.Next(func(g string, busy int) bool { return room == 0 || busy < room })
+				g, it, ok := q.Next(func(_ string, busy int) bool { return room == 0 || busy < room })
 				if !ok {
 					break
 				}
--- a/hint/cue_test.go
+++ b/hint/cue_test.go
@@ -108,7 +108,7 @@
 	ids := map[string]uint64{"e1": 1, "e2": 2, "e3": 3, "s": 9}
 	d := NewDirectory(5, 100)
 	next := map[string]uint64{}
-	datadriven.RunTest(t, "testdata/directory", func(t *testing.T, c *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/directory", func(_ *testing.T, c *datadriven.TestData) string {
 		switch c.Cmd {
 		case "new":
 			d = NewDirectory(5, 100)
--- a/internal/app/indexnode/indexnode.go
+++ b/internal/app/indexnode/indexnode.go
@@ -165,7 +165,7 @@
 }
 
 // duties brings the leases held nearer to those that should be.
-func (c *custodian) duties(ctx context.Context) {
+func (c *custodian) duties(context.Context) {
 	if c.d.Stopping() {
 		return
 	}
--- a/internal/scale/engines.go
+++ b/internal/scale/engines.go
@@ -74,6 +74,7 @@
 	n *atomic.Int64
 }
 
+// Accept waits for a connection and counts the bytes written to it.
 func (l counting) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	return countingConn{c, l.n}, err
--- a/internal/scale/hollow_test.go
+++ b/internal/scale/hollow_test.go
@@ -36,7 +36,7 @@
 	done   chan struct{}
 }
 
-func play(t *testing.T, c *taskgroup.Group, ls []net.Listener, script []func(string) *fb.MapTellT) *stewards {
+func play(c *taskgroup.Group, ls []net.Listener, script []func(string) *fb.MapTellT) *stewards {
 	s := &stewards{script: script, done: make(chan struct{})}
 	for _, l := range ls {
 		a := l.Addr().String()
@@ -142,7 +142,7 @@
 	}
 	run := func(what string, start func(c *taskgroup.Group) (stop func())) []string {
 		c := taskgroup.New(context.Background(), logr.Discard())
-		s := play(t, c, listen(t, addrs...), script)
+		s := play(c, listen(t, addrs...), script)
 		stop := start(c)
 		select {
 		case <-s.done:
@@ -158,7 +158,7 @@
 		c.Go("hollow", p.Run)
 		return func() {}
 	})
-	real := run("real", func(c *taskgroup.Group) func() {
+	actual := run("real", func(c *taskgroup.Group) func() {
 		d, err := proxy.New(proxy.Settings{Name: "proxy-1", Site: "north", HTTP: free(t), Listen: free(t), Seeds: addrs, Bounds: route.DefaultBounds(), Hints: 64}, platform.Door{})
 		if err != nil {
 			t.Fatal(err)
@@ -175,13 +175,13 @@
 			over.Wait()
 		}
 	})
-	for i := range min(len(real), len(hollow)) {
-		if real[i] != hollow[i] {
-			t.Errorf("question %d:\nreal   %s\nhollow %s", i, real[i], hollow[i])
+	for i := range min(len(actual), len(hollow)) {
+		if actual[i] != hollow[i] {
+			t.Errorf("question %d:\nreal   %s\nhollow %s", i, actual[i], hollow[i])
 		}
 	}
-	if len(real) != len(script) || len(hollow) != len(script) {
-		t.Errorf("%d and %d questions of %d", len(real), len(hollow), len(script))
+	if len(actual) != len(script) || len(hollow) != len(script) {
+		t.Errorf("%d and %d questions of %d", len(actual), len(hollow), len(script))
 	}
 }
 
--- a/internal/scale/model.go
+++ b/internal/scale/model.go
@@ -23,7 +23,6 @@
 
 var (
 	base1    = feature{"base", func(Drivers) float64 { return 1 }}
-	proxies  = feature{"proxies", func(d Drivers) float64 { return d.Proxies }}
 	askers   = feature{"askers", Drivers.Askers}
 	engines  = feature{"engines", func(d Drivers) float64 { return d.Engines }}
 	events   = feature{"events/s", func(d Drivers) float64 { return d.Events }}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -96,7 +96,7 @@
 	for _, s := range samples() {
 		f.Add(Encode(s)[8:])
 	}
-	f.Fuzz(func(t *testing.T, b []byte) {
+	f.Fuzz(func(_ *testing.T, b []byte) {
 		if x, err := Decode(b); err == nil {
 			_ = Encode(x)
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -460,7 +460,7 @@
 }
 
 // Load notes what an engine said of its load.
-func (p *Picker) Load(now int64, id string, running, waiting, slots int) {
+func (p *Picker) Load(now int64, id string, running, waiting, _ int) {
 	if s := p.seen[id]; s != nil {
 		s.running, s.waiting, s.loadAt = running, waiting, now
 	}
--- a/plan/change.go
+++ b/plan/change.go
@@ -14,13 +14,14 @@
 
 // Reasons why a change does not apply; the messages name the remedy.
 type (
-	// OtherRevision: the plan in force is not the one the change is meant for.
+	// OtherRevision tells that the plan in force, of revision Rev, is not the one the
+	// change is meant for.
 	OtherRevision struct{ Rev uint64 }
-	// NoPlan: there is none yet that a patch could change.
+	// NoPlan tells that there is no plan yet that a patch could change.
 	NoPlan struct{}
-	// BadPatch: the patch can't be read.
+	// BadPatch tells that the patch can't be read.
 	BadPatch struct{ Cause error }
-	// BadPlan: what would be in force is not in order.
+	// BadPlan lists what is not in order in the plan that would be in force.
 	BadPlan struct{ Findings []Finding }
 )
 
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -11,7 +11,7 @@
 
 // TestCheck runs testdata/check: a plan, and every finding.
 func TestCheck(t *testing.T) {
-	datadriven.RunTest(t, "testdata/check", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/check", func(_ *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "check":
 			_, fs := Parse([]byte(d.Input))
--- a/plan/seal_test.go
+++ b/plan/seal_test.go
@@ -62,7 +62,7 @@
 	moved("b was opened", "a", a, true)
 	step("w1 a b| c| d e|")
 	moved("b was walled off again", "b", b, true)
-	a, b = of("a"), of("b")
+	b = of("b")
 	step("w1 a c| d e|")
 	step("w1 a b| c| d e|")
 	moved("b was removed and made again", "b", b, true)
