link: a question that was given up is not put late; tests' proxies listen once

With the dial off the caller's path, a question whose time ran out while the far end was dialled would have gone out afterwards: frames carry the context of their question, and one that has ended is dropped before it is written (TestNothingWaitsForADial). Tests' proxies took a free port and listened on it later; under load another took it between (one run failed, and its stages panicked). They are given the listener now; open keeps only listening, serveCallers the rest.

--- a/internal/app/proxy/budget_test.go
+++ b/internal/app/proxy/budget_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"testing"
 
 	"violetthread/internal/clock"
@@ -13,13 +12,7 @@
 // TestBudgetIsLookedAtWhereItIsSpent: between a passage's move and its attempt others may
 // have spent what was left.
 func TestBudgetIsLookedAtWhereItIsSpent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := l.Addr().String()
-	_ = l.Close()
-	u := NewUnattached(t, listen, nil, route.Compile(route.Config{}, 1))
+	u := NewUnattached(t, nil, route.Compile(route.Config{}, 1))
 	u.SetRetries(0, 1)
 	u.SetEngines(&placement.Engine{ID: "e", Pool: "p", Addr: "127.0.0.1:1"})
 	now := clock.Now()
--- a/internal/app/proxy/export_test.go
+++ b/internal/app/proxy/export_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -23,12 +24,16 @@
 }
 
 // NewUnattached starts one that listens for callers.
-func NewUnattached(t testing.TB, listen string, door Door, table *route.Table) *Unattached {
+func NewUnattached(t testing.TB, door Door, table *route.Table) *Unattached {
 	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	bounds := route.DefaultBounds()
 	bounds.RetryAllowance, bounds.RetryRatio = 1e9, 1
 	c := &carrier{
-		s:      Settings{Name: "unattached", Site: "here", Listen: listen, Bounds: bounds},
+		s:      Settings{Name: "unattached", Site: "here", Bounds: bounds},
 		d:      quietDaemon(),
 		door:   door,
 		pool:   newPool(),
@@ -39,14 +44,12 @@
 	c.pool.dialTimeoutUS = patienceUS // the machine may be busy with other tests
 	c.pick = placement.New(c.s.Site, c.hints)
 	c.view.Store(&view{table: table, rev: 1, at: clock.Now() + 1<<40, known: true, peers: 1})
-	if err := c.open(table.Limits); err != nil {
-		t.Fatal(err)
-	}
+	c.serveCallers(l, table.Limits)
 	t.Cleanup(func() {
 		c.pool.closeIdle()
 		c.d.Group.Stop()
 	})
-	return &Unattached{c: c, Listen: listen}
+	return &Unattached{c: c, Listen: l.Addr().String()}
 }
 
 // SetEngines replaces the engines by others that have never failed.
--- a/internal/app/proxy/follow_test.go
+++ b/internal/app/proxy/follow_test.go
@@ -164,7 +164,7 @@
 // A request that is sent on again begins later: by then its weights may be out of date.
 func TestLaterAttemptOnNewerWeights(t *testing.T) {
 	const named = 100 * second
-	u := NewUnattached(t, "127.0.0.1:0", nil, route.Compile(route.Config{}, 1))
+	u := NewUnattached(t, nil, route.Compile(route.Config{}, 1))
 	u.SetEngines(&placement.Engine{ID: "old", Pool: "p", Addr: "127.0.0.1:1", Weights: map[string]uint64{"m": 1}})
 	v := *u.c.view.Load()
 	v.hear(told(1, 0, "old", 0, 1), named)
--- a/internal/app/proxy/proxy.go
+++ b/internal/app/proxy/proxy.go
@@ -151,6 +151,13 @@
 	if err != nil {
 		return trace.ConnectionProblem(err, "can't listen on %s; give it a free IP:port of this machine", c.s.Listen)
 	}
+	c.serveCallers(ln, l)
+	c.d.Log.Info("open", "listen", c.s.Listen)
+	return nil
+}
+
+// serveCallers takes callers' requests from a listener.
+func (c *carrier) serveCallers(ln net.Listener, l route.Limits) {
 	s := &http.Server{Handler: http.HandlerFunc(c.serve), ReadHeaderTimeout: clock.Micros(l.HeaderUS), IdleTimeout: idleUnbounded,
 		MaxHeaderBytes: int(l.HeaderBytes), ErrorLog: log.New(io.Discard, "", 0), ConnContext: withCallerConn, ConnState: noteState}
 	if l.HeaderUS <= 0 {
@@ -167,8 +174,6 @@
 		<-ctx.Done()
 		_ = s.Close()
 	})
-	c.d.Log.Info("open", "listen", c.s.Listen)
-	return nil
 }
 
 // idleLimit is how long a caller's connection may rest under the configuration in force.
--- a/internal/app/proxy/standin_test.go
+++ b/internal/app/proxy/standin_test.go
@@ -262,13 +262,7 @@
 
 func newStage(t testing.TB, name string) *stage {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := l.Addr().String()
-	_ = l.Close()
-	return &stage{t: t, name: name, engines: newEngines(t), proxy: proxy.NewUnattached(t, listen, platform.Door{}, testTable())}
+	return &stage{t: t, name: name, engines: newEngines(t), proxy: proxy.NewUnattached(t, platform.Door{}, testTable())}
 }
 
 // begin starts a case with engines that nobody has asked yet.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -54,16 +54,26 @@
 	writeTimeout    = 5 * time.Second
 )
 
+// outgoing is a frame that waits to be written. It is dropped if wanted has ended by then:
+// a question that was given up is not put late.
+type outgoing struct {
+	frame  []byte
+	wanted context.Context
+}
+
 // writeAll writes frames until ctx ends or the connection fails, and then calls stop.
-func writeAll(ctx context.Context, stop func(), conn net.Conn, out <-chan []byte) {
+func writeAll(ctx context.Context, stop func(), conn net.Conn, out <-chan outgoing) {
 	defer stop()
 	for {
-		frame, ok := taskgroup.Wait(ctx, out)
+		next, ok := taskgroup.Wait(ctx, out)
 		if !ok {
 			return
 		}
+		if next.wanted.Err() != nil {
+			continue
+		}
 		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		n, err := conn.Write(frame)
+		n, err := conn.Write(next.frame)
 		bytesOut.Add(int64(n))
 		if err != nil {
 			return
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -343,6 +343,7 @@
 
 // TestNothingWaitsForADial: a frame that nobody answers is handed over at once, and a
 // question waits no longer than its own time, while the far end does not answer the dial.
+// A question that was given up meanwhile is not put later.
 func TestNothingWaitsForADial(t *testing.T) {
 	g := newGroup(t)
 	e := newFarEnd(t, g, func(c *farConn, q *fb.FrameT, _ int) { c.say(wire.Encode(answerTo(q))) })
@@ -362,6 +363,9 @@
 	if ok, err := ask(p, "later", patienceUS); !ok || err != nil {
 		t.Errorf("%v, %v", ok, err)
 	}
+	if n := e.times("too early"); n > 0 {
+		t.Errorf("a question that was given up was put %d times", n)
+	}
 }
 
 // TestServerMeetsTornQuestions: a server goes on after questions that are cut at every byte,
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -38,7 +38,7 @@
 type session struct {
 	ctx  context.Context
 	stop context.CancelCauseFunc
-	out  chan []byte
+	out  chan outgoing
 
 	mu      sync.Mutex
 	waiting map[uint64]chan *fb.FrameT
@@ -72,7 +72,7 @@
 	if clock.Now() < p.nextDial {
 		return nil, trace.ConnectionProblem(nil, "%s was just unreachable; it is tried again shortly", p.addr)
 	}
-	s := &session{out: make(chan []byte, outQueue), waiting: map[uint64]chan *fb.FrameT{}}
+	s := &session{out: make(chan outgoing, outQueue), waiting: map[uint64]chan *fb.FrameT{}}
 	s.ctx, s.stop = context.WithCancelCause(p.group.Context())
 	p.current = s
 	p.group.Go("peer", func(context.Context) { p.run(s) })
@@ -137,7 +137,7 @@
 func (p *Peer) Send(f *fb.FrameT) {
 	s, err := p.session()
 	if err == nil {
-		taskgroup.Offer(s.out, wire.Encode(f))
+		taskgroup.Offer(s.out, outgoing{wire.Encode(f), s.ctx})
 	}
 }
 
@@ -155,7 +155,7 @@
 	ref, began := p.newRef(), clock.Now()
 	answer := s.await(ref)
 	defer s.forget(ref)
-	if taskgroup.Give(ctx, s.out, withRef(f, ref)) {
+	if taskgroup.Give(ctx, s.out, outgoing{withRef(f, ref), ctx}) {
 		if a, ok := taskgroup.Wait(ctx, answer); ok {
 			return answered(a)
 		}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -40,7 +40,7 @@
 		<-ctx.Done()
 		_ = conn.Close()
 	})
-	out := make(chan []byte, outQueue)
+	out := make(chan outgoing, outQueue)
 	g.Go("link.write", func(context.Context) { writeAll(ctx, stop, conn, out) })
 	r := bufio.NewReaderSize(counted{conn}, readBufferBytes)
 	room := make(chan struct{}, answersAtOnce)
@@ -66,7 +66,7 @@
 			if answer == nil {
 				answer = &fb.FrameT{Problem: &fb.ProblemT{Kind: "unhandled", Text: "this process does not answer that"}}
 			}
-			taskgroup.Give(ctx, out, withRef(answer, f.Ref))
+			taskgroup.Give(ctx, out, outgoing{withRef(answer, f.Ref), ctx})
 		})
 	}
 }
