--- a/internal/app/control/control.go
+++ b/internal/app/control/control.go
@@ -50,6 +50,7 @@
 	inc     atomic.Uint64                // 0 until the disk was read
 	found   atomic.Pointer[fb.FoundingT] // the roster that this disk knows
 	ended   chan error                   // why the voter must stop: retired, or what the disk did
+	rejoins atomic.Bool                  // it was in a roster once, and lost its place
 	frames  atomic.Pointer[[]link.Handler]
 	mu      sync.Mutex
 	known   []string // addresses to ask while this disk is in no roster
--- a/internal/app/control/join.go
+++ b/internal/app/control/join.go
@@ -110,13 +110,17 @@
 // ask asks one registrar who it is and which roster it follows. A blank one asks to
 // be let in by that.
 func (r *Node) ask(ctx context.Context, addr string, blank bool) *fb.FoundTellT {
-	t, err := r.book.At(addr).Call(ctx, &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc(), Blank: blank, First: r.s.Found}}, askLimit)
+	t, err := r.book.At(addr).Call(ctx, &fb.FrameT{FoundAsk: &fb.FoundAskT{Name: r.s.Name, Addr: r.s.Wire, Inc: r.Inc(), Blank: blank, First: r.first()}}, askLimit)
 	if err != nil || t.FoundTell == nil || t.FoundTell.Inc == 0 {
 		return nil // who that is lies on a disk that was not read yet
 	}
 	return t.FoundTell
 }
 
+// first reports whether this node belongs to a fleet that starts for the first time, and
+// never had a place in it. One that lost its place was replaced: its seat is taken.
+func (r *Node) first() bool { return r.s.Found && !r.rejoins.Load() }
+
 // foundNow founds a fleet out of what the seeds just told, or says what is waited for.
 // Only seeds found, once each has told its number and none knows a roster; whoever
 // meets a founded fleet joins that (design §4.6).
@@ -126,7 +130,7 @@
 			return nil, fmt.Errorf("waiting to be let into the fleet's roster; a majority of its registrars must be up")
 		}
 	}
-	if !r.s.Found {
+	if !r.first() {
 		return nil, fmt.Errorf("no founded fleet is reachable; if this is the fleet's first start, give every registrar --found true")
 	}
 	if !slices.Contains(r.s.Seeds, r.s.Wire) {
--- a/internal/app/control/lifecycle.go
+++ b/internal/app/control/lifecycle.go
@@ -86,6 +86,7 @@
 	}
 	r.d.Log.Info("retired", "step", wire.Unroster(f).Step(), "inc", inc)
 	r.inc.Store(inc)
+	r.rejoins.Store(true)
 	r.learn(addrs(f))
 	r.found.Store(nil)
 	r.recs = nil
