--- a/internal/app/control/embed.go
+++ b/internal/app/control/embed.go
@@ -66,7 +66,10 @@
 func (r *Node) WhileHearingMajority(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, stop := context.WithCancel(ctx)
 	r.d.Group.Go("contact", func(context.Context) {
-		for r.HearsMajority() && taskgroup.Pause(ctx, contactLook) {
+		for r.HearsMajority() {
+			if !taskgroup.Pause(ctx, contactLook) {
+				break
+			}
 		}
 		stop()
 	})
--- a/internal/app/control/join.go
+++ b/internal/app/control/join.go
@@ -235,7 +235,10 @@
 	if !taskgroup.Give(ctx, r.in, func(now int64) { r.out(r.node.Leave(now)) }) {
 		return
 	}
-	for taskgroup.Pause(ctx, leaveLeast) && r.handingOver(ctx) {
+	for taskgroup.Pause(ctx, leaveLeast) {
+		if !r.handingOver(ctx) {
+			return
+		}
 	}
 }
 
--- a/internal/app/proxy/callerconn.go
+++ b/internal/app/proxy/callerconn.go
@@ -25,6 +25,7 @@
 	idleLimit func() time.Duration
 }
 
+// Accept waits for the next caller.
 func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
--- a/internal/app/proxy/follow_test.go
+++ b/internal/app/proxy/follow_test.go
@@ -55,12 +55,10 @@
 	use := func(what string, m *fb.MapTellT, at int64, want string) {
 		t.Helper()
 		engines, ok := v.hear(m, at)
-		if got := map[bool]string{true: ""}[!ok]; ok {
-			got = engines[0].Id
-			if got != want {
-				t.Errorf("%s: the map of %q is used, not %q", what, got, want)
-			}
-		} else if want != "" {
+		switch {
+		case ok && engines[0].Id != want:
+			t.Errorf("%s: the map of %q is used, not %q", what, engines[0].Id, want)
+		case !ok && want != "":
 			t.Errorf("%s: the map is not used", what)
 		}
 	}
--- a/internal/base/daemon.go
+++ b/internal/base/daemon.go
@@ -60,6 +60,7 @@
 
 type quiet struct{}
 
+// Log drops a line of the library.
 func (quiet) Log(klog.Level, ...any) error { return nil }
 
 // The library's own lines are no events of ours; its logger is global, so it is
--- a/internal/base/settings.go
+++ b/internal/base/settings.go
@@ -83,16 +83,17 @@
 	return Fill(s, given[s])
 }
 
-type flagset struct {
+// FlagSet holds what Flags declared for one settings struct, and what the command line gave.
+type FlagSet struct {
 	file  string
 	texts map[string]*string
 }
 
-var given = map[any]*flagset{}
+var given = map[any]*FlagSet{}
 
 // Flags declares a flag for every setting of s on a command.
 func Flags(c *flaggy.Subcommand, s any) {
-	g := &flagset{texts: map[string]*string{}}
+	g := &FlagSet{texts: map[string]*string{}}
 	given[s] = g
 	c.String(&g.file, "s", "settings", "JSON file with settings; flags go before it")
 	fields(reflect.ValueOf(s).Elem(), func(t reflect.StructField, v reflect.Value) {
@@ -108,7 +109,7 @@
 }
 
 // Given returns what Flags declared for s, for Fill.
-func Given(s any) *flagset { return given[s] }
+func Given(s any) *FlagSet { return given[s] }
 
 func show(v reflect.Value) string {
 	if v.IsZero() {
@@ -118,7 +119,7 @@
 }
 
 // Fill reads the file, then the flags, and checks the whole.
-func Fill(s any, g *flagset) error {
+func Fill(s any, g *FlagSet) error {
 	var wrong []string
 	if g.file != "" {
 		b, err := os.ReadFile(g.file)
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -21,7 +21,7 @@
 		<-ctx.Done()
 		_ = l.Close()
 	})
-	g.Go("link.accept", func(ctx context.Context) {
+	g.Go("link.accept", func(context.Context) {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
--- a/route/namings_test.go
+++ b/route/namings_test.go
@@ -36,7 +36,7 @@
 			t.Errorf("%s: epoch %d, not %d", c.name, c.mine.Epoch(), c.epoch)
 		}
 		count := 0
-		c.mine.Each(func(model string, version uint64, at int64) {
+		c.mine.Each(func(_ string, version uint64, at int64) {
 			count++
 			if c.want[version] != at {
 				t.Errorf("%s: version %d since %d, not %d", c.name, version, at, c.want[version])
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -30,7 +30,6 @@
 	listing    []index.Listed
 	side       map[*Registrar]*side
 	judge      *judge
-	callers    *Host
 	sent       int
 	named      func() // names new weights, for last faults
 	callerEra  uint64 // newest that any proxy told its callers
--- a/sim/membership_test.go
+++ b/sim/membership_test.go
@@ -212,7 +212,8 @@
 						}
 						d.w.Run(over + d.w.Rng.Int63n(600_000))
 						if d.w.Rng.Intn(2) == 0 {
-							for n := d.h.Acks; d.h.Acks == n && len(d.w.wrong) == 0 && d.w.now < over+3_000_000; d.w.Run(d.w.now + 500) {
+							for n := d.h.Acks; d.h.Acks == n && len(d.w.wrong) == 0 && d.w.now < over+3_000_000; {
+								d.w.Run(d.w.now + 500)
 							}
 						}
 						back := d.strike(l)
--- a/sim/phantom_test.go
+++ b/sim/phantom_test.go
@@ -60,7 +60,8 @@
 			s.h.add(seenOp{from, s.w.now, x.Rev, string(x.Val), op.Kind == quorum.OpPut})
 		}
 	}, func() {})
-	for end := s.w.now + 2_100_000; s.w.now < end && a.Status == 0; s.w.Run(s.w.now + 5_000) {
+	for end := s.w.now + 2_100_000; s.w.now < end && a.Status == 0; {
+		s.w.Run(s.w.now + 5_000)
 	}
 	return a
 }
--- a/sim/world.go
+++ b/sim/world.go
@@ -26,7 +26,11 @@
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
 }
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+
+// Push adds an event, for the heap.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop takes the last event off, for the heap.
 func (e *events) Pop() any {
 	o := *e
 	x := o[len(o)-1]
@@ -337,8 +341,10 @@
 	return f, nil
 }
 
+// ReadAt reads what was written, synced or not.
 func (f *diskFile) ReadAt(b []byte, o int64) (int, error) { return copy(b, f.cache[o:]), nil }
 
+// WriteAt writes; a loss of power may undo it until Sync.
 func (f *diskFile) WriteAt(b []byte, o int64) (int, error) {
 	if f.d.Fail {
 		return 0, errDisk
@@ -348,6 +354,7 @@
 	return len(b), nil
 }
 
+// Sync makes all that was written last.
 func (f *diskFile) Sync() error {
 	if f.d.Fail {
 		return errDisk
@@ -359,6 +366,7 @@
 	return nil
 }
 
+// Close does nothing: a file ends with its disk.
 func (f *diskFile) Close() error { return nil }
 
 const sector = 512
