--- a/internal/app/proxy/faults_test.go
+++ b/internal/app/proxy/faults_test.go
@@ -398,3 +398,34 @@
 		t.Errorf("%d engines of others were asked %d times", engines-1, all)
 	}
 }
+
+// TestClosingConnectionIsNotUsedAgain: an engine that said that it closes may not read what
+// comes after, also while its connection is still open.
+func TestClosingConnectionIsNotUsedAgain(t *testing.T) {
+	s := newStage(t, "closing")
+	var mu sync.Mutex
+	again := 0
+	s.alone(func(c *engineConn, _ int) {
+		r, _, err := c.readRequest()
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		if c.served > 0 {
+			again++
+		}
+		mu.Unlock()
+		c.say(strings.Replace(answerTo(onceOnly, c.engine, r.Header.Get(headerAttempt), 0), "\r\n", "\r\nConnection: close\r\n", 1))
+	})
+	for range 5 {
+		id := s.newID()
+		if a := s.call(onceOnly, id, body, longWaitMS); !a.whole(onceOnly, id) {
+			t.Errorf("%+v", a)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if again > 0 {
+		t.Errorf("%d requests came on connections that were to close", again)
+	}
+}
