A full ring after an end in a checkpoint: the state is restated before anything else

While a checkpoint was being written, Append could use all that was kept free; a process that ended in the midst of it then found no room for its first record, and no checkpoint was under way that could make some: every later start ended the same way.

TestRoomAtStart failed without the quarter.

Left: live state at its bound, a checkpoint cut short at its very end, and then another: the second can find too little room; the node ends with the remedy (rejoin with an empty data_dir).

--- /dev/null
+++ b/internal/app/control/storage_test.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"violetthread/internal/wire"
+	"violetthread/quorum"
+	"violetthread/schema/fb"
+	"violetthread/wal"
+)
+
+// TestRoomAtStart: a process that ended during a checkpoint, with the room that is kept
+// for it used up by what was appended meanwhile, starts all the same: it restates its
+// state before anything else is written, and has all of it.
+func TestRoomAtStart(t *testing.T) {
+	s := Defaults()
+	s.Name, s.Site, s.HTTP, s.Wire, s.Data = "a", "north", "127.0.0.1:0", "127.0.0.1:0", t.TempDir()
+	s.RingFiles, s.RingBytes = 8, 64<<10
+	node, err := Make(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.Daemon().Group.Stop()
+	node.closeStorage()
+
+	log, _, err := wal.Open(node.storage.fs, wal.Plan{Files: s.RingFiles, Size: s.RingBytes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	founding := &fb.FoundingT{Inc: 7, Rev: quorum.Found(9), Voters: []*fb.VoterT{{Name: "a", Addr: s.Wire, Inc: 7, Num: 1}}}
+	if err := log.Append(wire.Founding(founding)); err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Begin(); err != nil {
+		t.Fatal(err)
+	}
+	written := 0
+	for err == nil {
+		written++
+		version := quorum.Ver{Epoch: 1, Seq: uint64(written)}
+		entry := quorum.Entry{Key: fmt.Sprint("key", written%10), Ver: version, Rev: uint64(written), Val: make([]byte, 2000)}
+		err = log.Append(wire.Rec(quorum.Rec{Kind: quorum.RecEntry, Slot: 3, Epoch: 1, Mark: version, Entry: entry}))
+	}
+	if !errors.Is(err, wal.ErrRingFull) {
+		t.Fatal(err)
+	}
+	if err := errors.Join(log.Sync(), log.Close()); err != nil {
+		t.Fatal(err)
+	}
+
+	node.storage.log, node.storage.lock = nil, nil
+	image, err := node.readDisk()
+	if err != nil {
+		t.Fatalf("a ring that is %d records full does not open: %v", written, err)
+	}
+	if used := node.storage.log.Used(); used > tightAt {
+		t.Fatalf("%d thousandths are used after the start", used)
+	}
+	if err := node.keep(founding); err != nil {
+		t.Fatal(err)
+	}
+	again, err := node.storage.log.Reopen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, err := decodeImage(again)
+	if err != nil || after.inc != image.inc || after.founding == nil {
+		t.Fatalf("%+v, %v", after, err)
+	}
+	before := node.newVoter(image.founding, image.inc, image.recs).Slots(0)
+	for i, slot := range node.newVoter(after.founding, after.inc, after.recs).Slots(0) {
+		if slot.Count != before[i].Count || slot.Mark != before[i].Mark {
+			t.Fatalf("slot %d has %+v, had %+v", i, slot, before[i])
+		}
+	}
+}
--- a/sim/core.go
+++ b/sim/core.go
@@ -136,6 +136,11 @@
 	r.node = nil
 	if len(r.ro.Voters) > 0 {
 		r.node = quorum.New(p, r.ro, r.Clock(), recs)
+		if err := r.makeRoom(); err != nil {
+			r.node = nil // there is no room for the state itself
+			r.die(err)
+			return
+		}
 	} else if r.core.heals {
 		at := r.core.w.now
 		r.Every(50_000, func() { r.beLetIn(p, at) })
@@ -276,6 +281,14 @@
 }
 
 func (r *Registrar) die(err error) {
+	if errors.Is(err, wal.ErrRingFull) && r.node != nil {
+		// As the daemon's voter: it begins anew from its disk, with a checkpoint first.
+		r.core.w.Note("%s begins anew: %v", r.Name, err)
+		r.node = nil
+		r.Kill()
+		r.Start()
+		return
+	}
 	r.Dead = err
 	r.core.w.Note("%s ends: %v", r.Name, err)
 	if errors.Is(err, wal.ErrCorrupt) {
@@ -368,6 +381,19 @@
 	})
 }
 
+// makeRoom restates the state before anything else is written, as the daemon does at its
+// start, if the process ended in the midst of a checkpoint.
+func (r *Registrar) makeRoom() error {
+	if r.ring.Used() <= 350 {
+		return nil
+	}
+	var parts [][]byte
+	for _, c := range r.node.Checkpoint() {
+		parts = append(parts, wire.Rec(c))
+	}
+	return r.ring.Checkpoint(parts)
+}
+
 // checkpoint writes a part of one with each sync, as the daemon does between
 // changes.
 func (r *Registrar) checkpoint() error {
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -166,10 +166,12 @@
 
 // Append writes a record; it lasts once Sync has returned.
 //
-// Two fifths of the ring stay free until the next checkpoint begins.
+// Two fifths of the ring stay free until the next checkpoint begins. While one is being
+// written a quarter does, which is for its parts, or for another that is begun anew if the
+// process ends in the midst of this one.
 func (l *Log) Append(data []byte) error {
 	if l.under {
-		return l.put(kindData, data, 0)
+		return l.put(kindData, data, max(1, l.plan.Files/4))
 	}
 	return l.put(kindData, data, max(1, l.plan.Files*2/5))
 }
