--- a/internal/app/proxy/exchange_test.go
+++ b/internal/app/proxy/exchange_test.go
@@ -22,7 +22,7 @@
 	{"interim answers with another id", func(c *engineConn, kind, id string) {
 		c.say(strings.Repeat("HTTP/1.1 102 Soon\r\n"+headerAttempt+": other\r\n\r\n", 3) + answerTo(kind, c.engine, id, 0))
 	}, false},
-	{"a switch of protocols", func(c *engineConn, kind, id string) {
+	{"a switch of protocols", func(c *engineConn, _, _ string) {
 		c.say("HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nbytes of x")
 	}, true},
 	{"the same answer twice", func(c *engineConn, kind, id string) {
@@ -34,41 +34,41 @@
 	{"garbage behind it", func(c *engineConn, kind, id string) {
 		c.say(answerTo(kind, c.engine, id, 0) + "\x00\xff\r\n\r\nHTTP/1.1 200 OK\r\n\r\n")
 	}, false},
-	{"another's answer alone", func(c *engineConn, kind, id string) { c.say(answerTo(kind, c.engine, "other", 0)) }, true},
-	{"another's refusal alone", func(c *engineConn, kind, id string) { c.say(withHead("503 Full", "other", "", headerSkipped+": 1")) }, true},
+	{"another's answer alone", func(c *engineConn, kind, _ string) { c.say(answerTo(kind, c.engine, "other", 0)) }, true},
+	{"another's refusal alone", func(c *engineConn, _, _ string) { c.say(withHead("503 Full", "other", "", headerSkipped+": 1")) }, true},
 	{"an answer without an id", func(c *engineConn, kind, id string) {
 		c.say(strings.Replace(answerTo(kind, c.engine, id, 0), headerAttempt+": "+id+"\r\n", "", 1))
 	}, true},
 	{"an answer without a seal", func(c *engineConn, kind, id string) {
 		c.say(strings.Replace(answerTo(kind, c.engine, id, 0), headerSeal+":", "X-Else:", 1))
 	}, true},
-	{"no length and no chunks", func(c *engineConn, kind, id string) {
+	{"no length and no chunks", func(c *engineConn, _, id string) {
 		c.say(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n\r\n%s", headerAttempt, id, headerSeal, plainBody(id)))
 	}, true},
-	{"two lengths", func(c *engineConn, kind, id string) {
+	{"two lengths", func(c *engineConn, _, id string) {
 		c.say(strings.Replace(withHead("200 OK", id, plainBody(id), headerSeal+": s"), "Content-Length", "Content-Length: 5\r\nContent-Length", 1))
 	}, true},
-	{"the same length twice", func(c *engineConn, kind, id string) {
+	{"the same length twice", func(c *engineConn, _, id string) {
 		length := fmt.Sprintf("Content-Length: %d\r\n", len(plainBody(id)))
 		c.say(strings.Replace(withHead("200 OK", id, plainBody(id), headerSeal+": s"), length, length+length, 1))
 	}, true},
 	{"a folded line", func(c *engineConn, kind, id string) {
 		c.say(strings.Replace(answerTo(kind, c.engine, id, 0), headerSeal+": ", headerSeal+":\r\n ", 1))
 	}, true},
-	{"an old protocol", func(c *engineConn, kind, id string) {
+	{"an old protocol", func(c *engineConn, _, id string) {
 		c.say(fmt.Sprintf("HTTP/1.0 200 OK\r\n%s: %s\r\n%s: s\r\n\r\n%s", headerAttempt, id, headerSeal, plainBody(id)))
 	}, true},
-	{"an encoding", func(c *engineConn, kind, id string) {
+	{"an encoding", func(c *engineConn, _, id string) {
 		c.say(withHead("200 OK", id, plainBody(id), headerSeal+": s", "Content-Encoding: gzip"))
 	}, true},
-	{"a run called busy", func(c *engineConn, kind, id string) { c.say(withHead("503 Busy", id, "ran", headerSeal+": s")) }, true},
-	{"a run called too early", func(c *engineConn, kind, id string) { c.say(withHead("429 Wait", id, "ran", headerSeal+": s")) }, true},
-	{"a run called late", func(c *engineConn, kind, id string) { c.say(withHead("408 Late", id, "ran", headerSeal+": s")) }, true},
-	{"a chunk longer than it says", func(c *engineConn, kind, id string) {
+	{"a run called busy", func(c *engineConn, _, id string) { c.say(withHead("503 Busy", id, "ran", headerSeal+": s")) }, true},
+	{"a run called too early", func(c *engineConn, _, id string) { c.say(withHead("429 Wait", id, "ran", headerSeal+": s")) }, true},
+	{"a run called late", func(c *engineConn, _, id string) { c.say(withHead("408 Late", id, "ran", headerSeal+": s")) }, true},
+	{"a chunk longer than it says", func(c *engineConn, _, id string) {
 		c.say(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcdef\r\n0\r\n\r\n", headerAttempt, id, headerSeal))
 	}, true},
-	{"no HTTP", func(c *engineConn, kind, id string) { c.say("\x16\x03\x01" + id + "\r\n\r\n") }, true},
-	{"a head without an end", func(c *engineConn, kind, id string) {
+	{"no HTTP", func(c *engineConn, _, id string) { c.say("\x16\x03\x01" + id + "\r\n\r\n") }, true},
+	{"a head without an end", func(c *engineConn, _, _ string) {
 		c.say("HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Long: "+strings.Repeat("x", 1000)+"\r\n", 20))
 	}, true},
 }
@@ -146,7 +146,7 @@
 	var mu sync.Mutex
 	conns, ids := []*engineConn{}, []string{}
 	met := make(chan struct{})
-	s.alone(func(c *engineConn, arrival int) {
+	s.alone(func(c *engineConn, _ int) {
 		r, _, err := c.readRequest()
 		if err != nil {
 			return
@@ -181,7 +181,7 @@
 func (s *stage) oneBehind(kind string) error {
 	last := ""
 	var mu sync.Mutex
-	s.alone(func(c *engineConn, arrival int) {
+	s.alone(func(c *engineConn, _ int) {
 		r, _, err := c.readRequest()
 		if err != nil {
 			return
