--- a/internal/scale/proxies.go
+++ b/internal/scale/proxies.go
@@ -42,6 +42,7 @@
 	followPatient = 450_000
 	staleWord     = 1_000_000
 	unusedFor     = 1_500_000
+	retryHold     = 50_000 // hold of a question to a node that failed lately
 	afterBad      = 30_000
 )
 
@@ -78,34 +79,49 @@
 	return out
 }
 
+// order lists the control nodes to ask, the best one first, as the proxy does.
 func (p *Proxy) order(now int64) []string {
 	l := lo.Keys(p.fars)
-	rank := func(a string) (n int) {
-		x := p.fars[a]
-		if x.badAt > 0 && now-x.badAt < unusedFor {
-			n += 4
-		}
-		switch x.site {
-		case p.site:
-		case "":
-			n++
-		default:
-			n += 2
-		}
-		if a == p.cur {
-			n--
-		}
-		return n
-	}
-	sort.Slice(l, func(i, j int) bool {
-		if a, b := rank(l[i]), rank(l[j]); a != b {
-			return a < b
-		}
-		return score(p.name, l[i]) < score(p.name, l[j])
-	})
+	sort.Slice(l, func(i, j int) bool { return p.before(now, l[i], l[j]) })
 	return l
 }
 
+// failedLately reports whether the node failed, or was out of touch, a short while ago.
+func (x *far) failedLately(now int64) bool {
+	return x.badAt > 0 && now-x.badAt < unusedFor
+}
+
+// before reports whether node a is to be asked before node b.
+func (p *Proxy) before(now int64, a, b string) bool {
+	x, y := p.fars[a], p.fars[b]
+	xFailed, yFailed := x.failedLately(now), y.failedLately(now)
+	if xFailed != yFailed {
+		return yFailed
+	}
+	if xFailed && x.badAt != y.badAt {
+		return x.badAt < y.badAt
+	}
+	if i, j := p.rank(a), p.rank(b); i != j {
+		return i < j
+	}
+	return score(p.name, a) < score(p.name, b)
+}
+
+// rank orders nodes that answered last time, the lowest first.
+func (p *Proxy) rank(a string) (n int) {
+	switch p.fars[a].site {
+	case p.site:
+	case "":
+		n++
+	default:
+		n += 2
+	}
+	if a == p.cur {
+		n--
+	}
+	return n
+}
+
 func score(a, b string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(a + "|" + b))
@@ -124,29 +140,40 @@
 	q := p.ask
 	q.Node = &fb.NodeT{Name: p.name, Role: "carrier", Site: p.site, Http: "127.0.0.1:1", Inc: p.inc, Ready: p.known}
 	q.Hold, q.Loads = followHold, p.loads()
-	if !p.known || x.site == "" {
+	switch {
+	case !p.known || x.site == "":
 		q.Hold = 0
+	case x.failedLately(now):
+		q.Hold = retryHold
 	}
 	r, err := p.book.At(a).Call(ctx, &fb.FrameT{MapAsk: &q}, q.Hold+followPatient)
 	if ctx.Err() != nil {
 		return false
 	}
 	if err != nil || r.MapTell == nil {
-		x.badAt = clock.Now()
-		if p.cur == a {
-			p.cur = ""
-		}
+		p.leave(a)
 		p.board.failed()
 		return len(l) > 1
 	}
 	t := r.MapTell
-	x.site, x.badAt, p.cur = t.Site, 0, a
+	x.site, x.badAt = t.Site, 0
 	p.take(t)
-	if t.Known && t.Age > staleWord {
-		x.badAt = clock.Now()
+	if !t.Known || t.Age > staleWord {
+		p.leave(a)
+		p.learn(t.Voters)
+		return false
 	}
+	p.cur = a
 	p.learn(t.Voters)
-	return t.Known
+	return true
+}
+
+// leave lets others be asked before a node that failed or is out of touch.
+func (p *Proxy) leave(a string) {
+	p.fars[a].badAt = clock.Now()
+	if p.cur == a {
+		p.cur = ""
+	}
 }
 
 func (p *Proxy) learn(voters []string) {
