Connections are kept as engines say, and near and connected engines are preferred

Idle connections were given up after 4 s although engines keep them for 10, and the choice of an engine knew nothing of connections; another zone cost it 1.5 ms.

Change: idle connections are kept for as long as the engine says, and shorter where some were lost without a word (idleLimit). A choice counts a new connection as 0.1, another zone as 0.2 of the request's latency target. Mechanisms can be switched off (--policy-off) and figures changed (--cost).

--- a/cmd/violetthread/main.go
+++ b/cmd/violetthread/main.go
@@ -10,6 +10,7 @@
 	"github.com/integrii/flaggy"
 
 	"violetthread/internal/daemon"
+	"violetthread/placement"
 	"violetthread/platform"
 )
 
@@ -29,8 +30,11 @@
 
 func run(args []string) error {
 	path := platform.BootPath()
+	var options platform.ProxyOptions
 	commands := []command{
-		{"proxy", "take callers' requests and pass them through to engines", platform.Proxy},
+		{"proxy", "take callers' requests and pass them through to engines", func(b platform.Boot) error {
+			return platform.Proxy(b, options)
+		}},
 		{"control", "keep the control state, follow the engines, answer operators", platform.Control},
 		{"check", "read the settings file, list every mistake and end", func(b platform.Boot) error {
 			fmt.Printf("%s is in order: node=%s class=%s\n", path, b.Node, b.Class)
@@ -46,6 +50,9 @@
 		subcommands[i].Description = c.about
 		p.AttachSubcommand(subcommands[i], 1)
 	}
+	proxy := subcommands[0]
+	proxy.String(&options.PolicyOff, "", "policy-off", "mechanisms of the policy to switch off, split by commas: "+placement.MechanismNames())
+	proxy.String(&options.Cost, "", "cost", "figures of the cost model to change, as name=value, split by commas")
 	if err := p.ParseArgs(args); err != nil {
 		return trace.BadParameter("flags: %v; see --help", err)
 	}
--- a/internal/app/proxy/admission.go
+++ b/internal/app/proxy/admission.go
@@ -108,7 +108,7 @@
 func (f *forwardedRequest) prepare(arrived int64) {
 	s := f.server
 	f.deadline = arrived + timeoutOf(f.info, f.route)
-	resumable := f.route.Semantics == route.EventStream && f.route.Resumable
+	resumable := f.route.Semantics == route.EventStream && f.route.Resumable && s.settings.Policy.Uses(placement.StreamResumption)
 	f.forward = attempt.Forward{
 		Repeatable: resumable || f.route.Semantics == route.Idempotent,
 		Resumable:  resumable,
@@ -124,6 +124,7 @@
 		Blocks:          f.info.Blocks,
 		PromptTokens:    f.info.PromptTokens,
 		MaxOutputTokens: f.info.MaxOutputTokens,
+		LatencyTargetUS: f.route.LatencyTargetUS,
 		CacheScope:      f.view.table.CacheScope(tenant),
 		TriedEngines:    map[string]bool{},
 	}
--- a/internal/app/proxy/connpool.go
+++ b/internal/app/proxy/connpool.go
@@ -5,8 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 
@@ -20,16 +18,16 @@
 type connPool struct {
 	mu     sync.Mutex
 	idle   map[string][]*engineConn // by id of the engine's incarnation, the one used last at the end
+	limits map[string]*idleLimit    // by pool of engines
 	dialed uint64                   // connections made
 	reused uint64                   // connections taken out of the pool
 
 	dialTimeoutUS int64
+	longKeepAlive bool // connections are kept for as long as engines say
 }
 
 const (
-	maxIdleUS        = 4_000_000 // a connection idle for longer is not used again
-	keepAliveSlackUS = 400_000   // and one is given up so long before its engine does
-	maxIdlePerEngine = 24        // idle connections kept to one engine
+	maxIdlePerEngine = 24 // idle connections kept to one engine
 
 	defaultDialTimeoutUS = 350_000
 	keepAliveUS          = 1_000_000 // between two probes of an idle connection
@@ -38,7 +36,30 @@
 )
 
 func newConnPool() *connPool {
-	return &connPool{idle: map[string][]*engineConn{}, dialTimeoutUS: defaultDialTimeoutUS}
+	return &connPool{
+		idle:          map[string][]*engineConn{},
+		limits:        map[string]*idleLimit{},
+		dialTimeoutUS: defaultDialTimeoutUS,
+		longKeepAlive: true,
+	}
+}
+
+// limit is what is known of idle connections to a pool's engines. Called under the lock.
+func (p *connPool) limit(pool string) *idleLimit {
+	limit := p.limits[pool]
+	if limit == nil {
+		limit = &idleLimit{}
+		p.limits[pool] = limit
+	}
+	return limit
+}
+
+// connected reports whether there is an idle connection to an engine's incarnation.
+func (p *connPool) connected(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[id]
+	return len(idle) > 0 && clock.Now() < idle[len(idle)-1].usableUntil
 }
 
 // get takes an idle connection to an engine's incarnation; nil if there is none.
@@ -53,7 +74,9 @@
 		c := idle[len(idle)-1] // the one used last
 		p.idle[id] = idle[:len(idle)-1]
 		p.mu.Unlock()
-		if clock.Now() < c.usableUntil && c.quiet() {
+		now := clock.Now()
+		if now < c.usableUntil && c.quiet() {
+			c.idledUS = now - c.idleSince
 			p.mu.Lock()
 			p.reused++
 			p.mu.Unlock()
@@ -92,15 +115,38 @@
 	})
 }
 
-// put gives a connection back after a complete answer with these headers.
-func (p *connPool) put(id string, c *engineConn, header http.Header) {
+// lost takes in that a connection to a pool's engine, which had been idle, broke without an
+// answer.
+func (p *connPool) lost(pool string, c *engineConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit(pool).lost(c.idledUS)
+}
+
+// keepUS is for how long a connection to a pool's engine may be idle. Called under the lock.
+func (p *connPool) keepUS(pool string, header http.Header) int64 {
 	keep := keepAlive(header)
+	if !p.longKeepAlive {
+		return min(keep, shortIdleUS)
+	}
+	return p.limit(pool).apply(keep)
+}
+
+// put gives a connection to a pool's engine back after a complete answer with these headers.
+func (p *connPool) put(pool, id string, c *engineConn, header http.Header) {
+	p.mu.Lock()
+	if c.used > 0 {
+		p.limit(pool).proved(c.idledUS)
+	}
+	keep := p.keepUS(pool, header)
+	p.mu.Unlock()
 	if c.br.Buffered() > 0 || keep <= 0 {
 		c.kill()
 		return
 	}
 	c.used++
-	c.usableUntil = clock.Now() + keep
+	c.idleSince = clock.Now()
+	c.usableUntil = c.idleSince + keep
 	_ = c.SetDeadline(noDeadline)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -111,20 +157,6 @@
 	p.idle[id] = append(p.idle[id], c)
 }
 
-// keepAlive is for how long a connection may be idle, in microseconds, going by the engine's
-// Keep-Alive header.
-func keepAlive(header http.Header) int64 {
-	keep := int64(maxIdleUS)
-	for _, directive := range strings.Split(header.Get("Keep-Alive"), ",") {
-		if seconds, ok := strings.CutPrefix(strings.TrimSpace(directive), "timeout="); ok {
-			if timeout, err := strconv.ParseInt(seconds, 10, 64); err == nil {
-				keep = min(keep, timeout*1_000_000-keepAliveSlackUS)
-			}
-		}
-	}
-	return keep
-}
-
 // sweep drops connections to engines that are gone, and those idle for too long.
 func (p *connPool) sweep(live func(id string) bool) {
 	now := clock.Now()
--- a/internal/app/proxy/engineanswer.go
+++ b/internal/app/proxy/engineanswer.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"violetthread/attempt"
@@ -23,6 +25,7 @@
 	for stray := 0; ; {
 		answer, err := a.conn.readHead(a.forwarded.request)
 		if err != nil {
+			a.recordIdleLoss(err)
 			return nil, ResponseInfo{}, a.interrupted(reasonEngineLost)
 		}
 		if answer.StatusCode < http.StatusOK {
@@ -42,6 +45,15 @@
 	}
 }
 
+// recordIdleLoss takes in that a connection of the pool broke before its engine said anything:
+// the engine may have forgotten it.
+func (a *engineAttempt) recordIdleLoss(err error) {
+	closed := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if closed && a.conn.used > 0 && a.forwarded.request.Context().Err() == nil {
+		a.forwarded.server.pool.lost(a.choice.Engine.Pool, a.conn)
+	}
+}
+
 // matches reports whether an answer belongs to this attempt. One without an attempt id is
 // accepted only as a rejection, and only as the first answer on a new connection.
 func (a *engineAttempt) matches(info ResponseInfo, stray int) bool {
--- a/internal/app/proxy/engineattempt.go
+++ b/internal/app/proxy/engineattempt.go
@@ -56,7 +56,7 @@
 	end, answer := a.exchange()
 	// A connection is kept only after a complete answer, and if nobody has killed it.
 	if answer != nil && !answer.Close && stop() {
-		s.pool.put(engine.ID, a.conn, answer.Header)
+		s.pool.put(engine.Pool, engine.ID, a.conn, answer.Header)
 		return end
 	}
 	stop()
--- a/internal/app/proxy/engineconn.go
+++ b/internal/app/proxy/engineconn.go
@@ -19,6 +19,8 @@
 	br          *bufio.Reader
 	used        int   // complete answers that it carried
 	usableUntil int64 // monotonic microseconds; not used again after it
+	idleSince   int64 // monotonic microseconds at which its last answer ended
+	idledUS     int64 // for how long it was idle before it was used again
 }
 
 // quiet reports whether the engine has neither closed the connection nor sent anything.
--- a/internal/app/proxy/enginerequest.go
+++ b/internal/app/proxy/enginerequest.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+
+	"violetthread/placement"
 )
 
 // hopByHop are headers that concern one connection only.
@@ -21,6 +23,9 @@
 	"Upgrade":             true,
 }
 
+// defaultPriority is what engines take for a request whose priority they are not told.
+const defaultPriority = 5
+
 // encodeRequest is the request as the engine gets it: method, path, query and body are the
 // caller's own.
 func (a *engineAttempt) encodeRequest(now int64) []byte {
@@ -64,6 +69,9 @@
 	if f.tenant != nil {
 		engineRequest.Tenant = f.tenant.Name
 	}
+	if !f.server.settings.Policy.Uses(placement.RequestPriority) {
+		engineRequest.Priority = defaultPriority
+	}
 	f.server.adapter.SetEngineHeaders(h, engineRequest)
 	return h
 }
--- a/internal/app/proxy/export_test.go
+++ b/internal/app/proxy/export_test.go
@@ -33,7 +33,7 @@
 	bounds := route.DefaultBounds()
 	bounds.RetryAllowance, bounds.RetryRatio = 1e9, 1
 	c := &server{
-		settings:       Settings{Name: "unattached", Zone: "here", Bounds: bounds},
+		settings:       Settings{Name: "unattached", Zone: "here", Bounds: bounds, Cost: placement.DefaultCostModel()},
 		daemon:         quietDaemon(),
 		adapter:        door,
 		pool:           newConnPool(),
@@ -42,7 +42,7 @@
 		retryAllowance: 1e9,
 	}
 	c.pool.dialTimeoutUS = patienceUS // the machine may be busy with other tests
-	c.picker = placement.New(c.settings.Zone, c.hints)
+	c.picker = c.newPicker()
 	c.view.Store(&view{table: table, revision: 1, configAt: clock.Now() + 1<<40, configKnown: true, proxies: 1})
 	c.serveCallers(l, table.Limits)
 	t.Cleanup(func() {
@@ -56,7 +56,7 @@
 func (u *Unattached) SetEngines(engines ...*placement.Engine) {
 	u.server.mu.Lock()
 	defer u.server.mu.Unlock()
-	u.server.picker = placement.New(u.server.settings.Zone, u.server.hints)
+	u.server.picker = u.server.newPicker()
 	u.server.picker.SetFleet(engines, nil)
 }
 
--- a/internal/app/proxy/server.go
+++ b/internal/app/proxy/server.go
@@ -28,13 +28,15 @@
 
 // Settings of a proxy.
 type Settings struct {
-	Name        string       // of this proxy in the fleet
-	Zone        string       // where it runs; nodes and engines there are preferred
-	HTTP        string       // IP:port of the daemon's own pages (readiness, metrics)
-	Listen      string       // IP:port for callers; opened once the proxy is ready
-	Seeds       []string     // transport addresses of up to three control nodes, at least one
-	Bounds      route.Bounds // the operator's rules
-	HintEntries int          // entries of the hint table; more hold more of the fleet's caches
+	Name        string              // of this proxy in the fleet
+	Zone        string              // where it runs; nodes and engines there are preferred
+	HTTP        string              // IP:port of the daemon's own pages (readiness, metrics)
+	Listen      string              // IP:port for callers; opened once the proxy is ready
+	Seeds       []string            // transport addresses of up to three control nodes, at least one
+	Bounds      route.Bounds        // the operator's rules
+	HintEntries int                 // entries of the hint table; more hold more of the fleet's caches
+	Policy      placement.Policy    // mechanisms in use
+	Cost        placement.CostModel // by which engines are compared
 }
 
 // server is the proxy: what its parts share.
@@ -99,7 +101,8 @@
 		retryWindows:   map[string]*attempt.RetryWindow{},
 		retryAllowance: 1,
 	}
-	s.picker = placement.New(settings.Zone, s.hints)
+	s.picker = s.newPicker()
+	s.pool.longKeepAlive = settings.Policy.Uses(placement.LongKeepAlive)
 	s.view.Store(&view{})
 	f := newFollower(s)
 	d.Group.Go("follow", f.run)
@@ -111,9 +114,19 @@
 	})
 	d.OnDrain(s.drain)
 	s.registerMetrics()
+	if off := settings.Policy.Off(); off != "" {
+		d.Log.Info("policy_reduced", "off", off)
+	}
 	return d, nil
 }
 
+// newPicker makes a picker that knows no engines.
+func (s *server) newPicker() *placement.Picker {
+	picker := placement.New(s.settings.Zone, s.hints)
+	picker.Policy, picker.Cost, picker.Connected = s.settings.Policy, s.settings.Cost, s.pool.connected
+	return picker
+}
+
 // self is this proxy as control nodes list it.
 func (s *server) self() *fb.NodeT {
 	return &fb.NodeT{Name: s.settings.Name, Role: membership.RoleProxy, Zone: s.settings.Zone, Http: s.settings.HTTP, Incarnation: s.incarnation, Ready: s.daemon.Ready()}
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -1,7 +1,8 @@
 package placement
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"strconv"
 
 	"violetthread/internal/rendezvous"
@@ -11,9 +12,14 @@
 // the highest, which every proxy finds without talking to others.
 func affinity(block, candidate string) uint64 { return rendezvous.Weight(block, "\x00", candidate) }
 
-// sortByAffinity puts a block's home first.
-func sortByAffinity(engines []*Engine, block string) {
-	sort.Slice(engines, func(i, j int) bool { return affinity(block, engines[i].ID) > affinity(block, engines[j].ID) })
+// sortByAffinity returns engines in the order of their affinity to a block, its home first.
+func sortByAffinity(engines []*Engine, block string) []*Engine {
+	weights := make(map[*Engine]uint64, len(engines))
+	for _, e := range engines {
+		weights[e] = affinity(block, e.ID)
+	}
+	slices.SortFunc(engines, func(a, b *Engine) int { return cmp.Compare(weights[b], weights[a]) })
+	return engines
 }
 
 // homeStore is the store where everybody would look for a block, of those that are healthy;
--- a/placement/costmodel.go
+++ b/placement/costmodel.go
@@ -8,7 +8,8 @@
 	TransferSetupUS     int64   // for each transfer
 	TransferPenaltyUS   int64   // what a transfer costs beyond its time
 	AffinityPenaltyUS   int64   // for each rank away from a block's home, where nobody has it cached
-	OtherZoneUS         int64   // for an engine in another zone than the proxy
+	OtherZoneShare      float64 // of the request's latency target, for an engine in another zone than the proxy
+	NewConnectionShare  float64 // of the request's latency target, for an engine without an idle connection
 	RunningPenaltyUS    int64   // for each request running at an engine
 	WaitingPenaltyUS    int64   // for each request that an engine reported as waiting
 	MemoryPressureFrom  float64 // part of an engine's memory that requests may take freely, 0 to 1
@@ -24,7 +25,8 @@
 		TransferSetupUS:     6_000,
 		TransferPenaltyUS:   20_000,
 		AffinityPenaltyUS:   25_000,
-		OtherZoneUS:         1_500,
+		OtherZoneShare:      0.2,
+		NewConnectionShare:  0.1,
 		RunningPenaltyUS:    700,
 		WaitingPenaltyUS:    15_000,
 		MemoryPressureFrom:  0.5,
@@ -34,6 +36,8 @@
 }
 
 const (
+	// defaultTargetUS stands for the latency target of a request that has none.
+	defaultTargetUS = 500_000
 	// maxAffinityRank is the rank from which on engines are equally far from a block's home.
 	maxAffinityRank = 6
 	// unhealthyUS keeps requests from an engine that looks unhealthy while there is another.
@@ -54,6 +58,24 @@
 	return us + m.TransferSetupUS
 }
 
+// awayUS is the penalty for an engine that costs the fleet more than others: a connection to
+// make, bytes between zones. It is a part of the time that the request has: one that must be
+// fast goes where it is fast.
+func (p *Picker) awayUS(e *Engine, r *Request) int64 {
+	target := float64(r.LatencyTargetUS)
+	if target <= 0 {
+		target = defaultTargetUS
+	}
+	us := 0.0
+	if e.Zone != p.zone && p.Policy.Uses(ZonePreference) {
+		us += p.Cost.OtherZoneShare * target
+	}
+	if p.Connected != nil && p.Policy.Uses(ConnectionReuse) && !p.Connected(e.ID) {
+		us += p.Cost.NewConnectionShare * target
+	}
+	return int64(us)
+}
+
 // queueUS is how long an engine would keep a new request waiting, as far as known.
 func (p *Picker) queueUS(now int64, e *Engine, r *Request) int64 {
 	s := p.states[e.ID]
@@ -67,7 +89,7 @@
 	if e.Slots > 0 && running >= e.Slots {
 		us += int64(running-e.Slots+1) * noSlotUS
 	}
-	if e.CacheTokens > 0 {
+	if e.CacheTokens > 0 && p.Policy.Uses(MemoryPressure) {
 		us += p.memoryPressureUS(s, e, r)
 	}
 	if e.Unhealthy {
--- a/placement/coverage.go
+++ b/placement/coverage.go
@@ -81,28 +81,42 @@
 			longest, best = cached+fetched, transfer{addr, fetched, us, cached}
 		}
 	}
+	if p.Policy.Uses(PeerTransfer) {
+		p.eachPeer(holders, own, func(peer *Engine) { consider(EngineHolderID(peer.ID), peer.Addr, peer.Zone) })
+	}
+	if p.Policy.Uses(StoreTransfer) {
+		p.eachStore(func(s *Store) { consider(StoreHolderID(s.Addr), s.Addr, s.Zone) })
+	}
+	return best
+}
+
+// eachPeer calls f for each healthy engine but own that has any of the blocks.
+func (p *Picker) eachPeer(holders []map[uint64]bool, own uint64, f func(*Engine)) {
 	considered := map[uint64]bool{own: true}
 	for _, blockHolders := range holders {
 		for holder := range blockHolders {
 			if other := p.byHolder[holder]; other != nil && !considered[holder] && !other.Unhealthy {
 				considered[holder] = true
-				consider(holder, other.Addr, other.Zone)
+				f(other)
 			}
 		}
 	}
-	for _, s := range p.stores {
-		if !s.Unhealthy { // engines wait for a dead source
-			consider(StoreHolderID(s.Addr), s.Addr, s.Zone)
+}
+
+// eachStore calls f for each healthy store: engines wait for a dead source.
+func (p *Picker) eachStore(f func(*Store)) {
+	for i := range p.stores {
+		if !p.stores[i].Unhealthy {
+			f(&p.stores[i])
 		}
 	}
-	return best
 }
 
 // destination is the address of the store that should get the shared blocks, if the engine
 // has to read any that the store lacks. What is read of the request's own block goes there as
 // well, which evicts others: so no store is named for that alone.
 func (p *Picker) destination(r *Request, store *Store, c *Choice, holders []map[uint64]bool) string {
-	if store == nil || !p.HintsComplete {
+	if store == nil || !p.HintsComplete || !p.Policy.Uses(StoreFill) {
 		return ""
 	}
 	sum, present := 0, c.CachedTokens+c.TransferTokens
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -21,7 +21,11 @@
 
 // Picker selects engines for one proxy. It is not safe for concurrent use.
 type Picker struct {
-	Cost CostModel // may be changed between calls
+	Cost   CostModel // may be changed between calls
+	Policy Policy    // may be changed between calls
+	// Connected reports whether the proxy has an idle connection to an engine. Without it no
+	// engine is preferred for that.
+	Connected func(engineID string) bool
 	// HintsComplete says that the hints are as complete as they get: until then no store is
 	// named as a Destination, since it may well have the blocks.
 	HintsComplete bool
--- a/placement/load.go
+++ b/placement/load.go
@@ -67,6 +67,9 @@
 
 // SetOtherLoads takes in what the other proxies have under way as of at, by EngineHolderID.
 func (p *Picker) SetOtherLoads(at int64, loads map[uint64]Load) {
+	if !p.Policy.Uses(OtherLoads) {
+		return
+	}
 	p.othersAt = at
 	for id, s := range p.states {
 		s.others = loads[EngineHolderID(id)]
@@ -75,7 +78,7 @@
 
 // ReportLoad takes in how many requests wait at an engine, as it reported in an answer.
 func (p *Picker) ReportLoad(now int64, id string, waiting int) {
-	if s := p.states[id]; s != nil {
+	if s := p.states[id]; s != nil && p.Policy.Uses(ReportedLoads) {
 		s.waiting, s.reportedAt = waiting, now
 	}
 }
@@ -84,7 +87,7 @@
 // failed. With each failure in a row the time doubles, up to sixteenfold.
 func (p *Picker) Eject(now int64, id string, us int64, failed bool) {
 	s := p.states[id]
-	if s == nil {
+	if s == nil || !p.Policy.Uses(Ejection) {
 		return
 	}
 	if failed {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -8,7 +8,7 @@
 	}
 	home := r.homeBlock()
 	if home != "" {
-		sortByAffinity(candidates, home)
+		candidates = sortByAffinity(candidates, home)
 	}
 	byVersion := map[uint64]*cachedBlocks{}
 	var best Choice
@@ -20,17 +20,17 @@
 			blocks = p.cachedBlocksOf(r, version)
 			byVersion[version] = blocks
 		}
-		var awayUS int64
-		if home != "" {
-			awayUS = int64(min(rank, maxAffinityRank)) * p.Cost.AffinityPenaltyUS
+		var affinityUS int64
+		if home != "" && p.Policy.Uses(Affinity) {
+			affinityUS = int64(min(rank, maxAffinityRank)) * p.Cost.AffinityPenaltyUS
 		}
-		c, us := p.estimate(now, r, e, blocks, awayUS)
+		c, us := p.estimate(now, r, e, blocks, affinityUS)
 		if best.Engine == nil || us < bestUS {
 			best, bestUS = c, us
 		}
 	}
 	store := p.homeStore(home)
-	if best.Source == "" && r.sharedBlocks() > 0 && store != nil {
+	if best.Source == "" && r.sharedBlocks() > 0 && store != nil && p.Policy.Uses(StoreTransfer) {
 		// Hints are late and some are lost. To ask the store in vain costs a moment, to read
 		// a block again a hundred times as much.
 		best.Source = store.Addr
@@ -39,9 +39,9 @@
 	return best, true
 }
 
-// estimate is the choice of an engine, and its estimated cost in microseconds. awayUS is the
-// penalty for its distance from the home of the request's blocks.
-func (p *Picker) estimate(now int64, r *Request, e *Engine, blocks *cachedBlocks, awayUS int64) (Choice, int64) {
+// estimate is the choice of an engine, and its estimated cost in microseconds. affinityUS is
+// the penalty for its distance from the home of the request's blocks.
+func (p *Picker) estimate(now int64, r *Request, e *Engine, blocks *cachedBlocks, affinityUS int64) (Choice, int64) {
 	cached, _ := prefixCoverage(r, blocks.holders, EngineHolderID(e.ID), 0)
 	fetch := p.bestSource(r, e, blocks.holders, cached)
 	c := Choice{
@@ -60,12 +60,9 @@
 		us += fetch.us + p.Cost.TransferPenaltyUS
 	}
 	if cached == 0 {
-		us += awayUS
+		us += affinityUS
 	}
-	if e.Zone != p.zone {
-		us += p.Cost.OtherZoneUS
-	}
-	return c, us
+	return c, us + p.awayUS(e, r)
 }
 
 // candidates lists the engines that may serve a request now.
--- a/placement/request.go
+++ b/placement/request.go
@@ -15,6 +15,7 @@
 	Blocks          []Block // in the prompt's order; the last one is the request's own
 	PromptTokens    int
 	MaxOutputTokens int
+	LatencyTargetUS int64           // microseconds within which the first event is in time, 0 for none
 	CacheScope      string          // of the tenant, route.Table.CacheScope
 	TriedEngines    map[string]bool // ids of engines that it went to before
 	MinVersion      uint64          // of the model's weights, 0 for any
