Placement learns how fast engines are, and takes link speeds from the configuration

Cause: an idle engine takes 121 ms and 18.9 ms for 1,000 tokens; the constant said 9.1 ms. Penalties in parts of the latency target were three times too strong beside it.

Change: prefillModel learns a fixed time and a time for each token for each pool, by online quantile regression of the median. The end of a long prompt counts for more (prefillWork).

--- a/internal/app/proxy/fleet.go
+++ b/internal/app/proxy/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"violetthread/cacheindex"
+	"violetthread/internal/clock"
 	"violetthread/internal/codec"
 	"violetthread/placement"
 	"violetthread/route"
@@ -12,7 +13,7 @@
 func (s *server) loads() (loads []*fb.EngineLoadT) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for holder, l := range s.picker.OwnLoads() {
+	for holder, l := range s.picker.OwnLoads(clock.Now()) {
 		loads = append(loads, &fb.EngineLoadT{Node: holder, Active: uint32(l.Requests), PrefillTokens: uint32(l.PrefillTokens), MemoryTokens: uint32(l.MemoryTokens)})
 	}
 	return loads
@@ -52,6 +53,9 @@
 // are gone.
 func (s *server) setFleet(listed []*fb.MapEngineT, table *route.Table) {
 	engines, stores := fleetOf(listed, table)
+	if !s.settings.Policy.Uses(placement.LinkSpeed) {
+		forgetLinkSpeeds(engines)
+	}
 	s.mu.Lock()
 	s.picker.SetFleet(engines, stores)
 	s.mu.Unlock()
@@ -69,14 +73,12 @@
 func fleetOf(listed []*fb.MapEngineT, table *route.Table) (engines []*placement.Engine, stores []placement.Store) {
 	for _, e := range listed {
 		if e.Store {
-			stores = append(stores, placement.Store{Addr: e.Addr, Zone: e.Zone, Unhealthy: e.Unhealthy})
+			stores = append(stores, placement.Store{Addr: e.Addr, Zone: e.Zone, Unhealthy: e.Unhealthy, LinkMbps: storeLinkMbps(table, e.Addr)})
 			continue
 		}
-		cacheTokens := int64(0)
-		if table != nil {
-			if pool := table.Pool(e.Pool); pool != nil {
-				cacheTokens = pool.CacheTokens
-			}
+		pool := &route.Pool{}
+		if table != nil && table.Pool(e.Pool) != nil {
+			pool = table.Pool(e.Pool)
 		}
 		engines = append(engines, &placement.Engine{
 			ID:              e.Id,
@@ -87,9 +89,41 @@
 			UpdatingWeights: e.Updating,
 			Unhealthy:       e.Unhealthy,
 			Slots:           int(e.Slots),
-			CacheTokens:     cacheTokens,
+			CacheTokens:     pool.CacheTokens,
+			LinkMbps:        pool.LinkMbps,
+			LinkTokensPerMS: linkTokensPerMS(pool),
 			Weights:         codec.UnpackWeights(e.Weights),
 		})
 	}
 	return engines, stores
 }
+
+// linkTokensPerMS is how many cached tokens the link of a pool's engine moves in a millisecond;
+// 0 if the configuration does not say.
+func linkTokensPerMS(pool *route.Pool) float64 {
+	if pool.BytesPerToken <= 0 {
+		return 0
+	}
+	const bitsPerMS = 1000 // of one Mbit/s
+	return pool.LinkMbps * bitsPerMS / 8 / float64(pool.BytesPerToken)
+}
+
+// storeLinkMbps is the speed of a store's link; 0 if the configuration does not say.
+func storeLinkMbps(table *route.Table, addr string) float64 {
+	if table == nil {
+		return 0
+	}
+	for _, pool := range table.Stores() {
+		if pool.StoreAddr == addr {
+			return pool.LinkMbps
+		}
+	}
+	return 0
+}
+
+// forgetLinkSpeeds leaves placement to the speed that it assumes.
+func forgetLinkSpeeds(engines []*placement.Engine) {
+	for _, e := range engines {
+		e.LinkMbps, e.LinkTokensPerMS = 0, 0
+	}
+}
--- a/internal/app/proxy/forwarded.go
+++ b/internal/app/proxy/forwarded.go
@@ -163,7 +163,7 @@
 	if !ok {
 		return choice, errNoEngine
 	}
-	s.picker.RequestSent(&choice)
+	s.picker.RequestSent(now, &choice)
 	if retry {
 		window.CountRetry(now)
 		s.counts.retries.Add(1)
--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -119,7 +119,7 @@
 	s := a.forwarded.server
 	a.began = true
 	s.mu.Lock()
-	s.picker.ResponseStarted(a.choice)
+	s.picker.ResponseStarted(clock.Now(), a.choice)
 	s.mu.Unlock()
 	engine := placement.EngineHolderID(a.choice.Engine.ID)
 	s.hintMu.Lock()
--- a/placement/costmodel.go
+++ b/placement/costmodel.go
@@ -3,8 +3,8 @@
 // CostModel are the figures by which engines are compared. Fields that end in US are
 // microseconds of estimated delay; raising one avoids more of what it is for.
 type CostModel struct {
-	PrefillTokensPerMS  float64 // prompt tokens that an engine reads in a millisecond
-	TransferTokensPerMS float64 // tokens that a link moves in a millisecond within a zone
+	PrefillTokensPerMS  float64 // prompt tokens that an engine reads in a millisecond, until answers have shown it
+	TransferTokensPerMS float64 // tokens that a link moves in a millisecond within a zone, where the configuration does not say
 	TransferSetupUS     int64   // for each transfer
 	TransferPenaltyUS   int64   // what a transfer costs beyond its time
 	AffinityPenaltyUS   int64   // for each rank away from a block's home, where nobody has it cached
@@ -49,9 +49,12 @@
 	failureUS = 30_000
 )
 
-// transferUS is how long a transfer of tokens takes, as estimated.
-func (m *CostModel) transferUS(sameZone bool, tokens int) int64 {
-	us := int64(float64(tokens) / m.TransferTokensPerMS * 1000)
+// transferUS is how long a transfer of tokens takes over a link of a speed, as estimated.
+func (m *CostModel) transferUS(sameZone bool, tokens int, tokensPerMS float64) int64 {
+	if tokensPerMS <= 0 {
+		tokensPerMS = m.TransferTokensPerMS
+	}
+	us := int64(float64(tokens) / tokensPerMS * 1000)
 	if !sameZone {
 		us *= 2
 	}
@@ -76,16 +79,32 @@
 	return int64(us)
 }
 
-// queueUS is how long an engine would keep a new request waiting, as far as known.
-func (p *Picker) queueUS(now int64, e *Engine, r *Request) int64 {
+// prefillModelOf is what is known of the speed of a pool's engines.
+func (p *Picker) prefillModelOf(pool string) *prefillModel {
+	model := p.prefillModels[pool]
+	if model == nil {
+		model = newPrefillModel(p.Cost.PrefillTokensPerMS)
+		p.prefillModels[pool] = model
+	}
+	return model
+}
+
+// queuedTokens is how many tokens of other requests an engine has to read first, as far as
+// known. What was reported is read on meanwhile.
+func (p *Picker) queuedTokens(now int64, e *Engine, usPerToken float64) float64 {
+	s := p.states[e.ID]
+	others := max(0, float64(s.others.PrefillTokens)-float64(now-p.othersAt)/usPerToken)
+	return s.ownPrefill(now, usPerToken) + others
+}
+
+// loadUS is what else is under way at an engine costs a new request there.
+func (p *Picker) loadUS(now int64, e *Engine, r *Request) int64 {
 	s := p.states[e.ID]
-	// What the others' requests had to read is read on meanwhile.
-	othersPrefill := max(0, float64(s.others.PrefillTokens)-p.Cost.PrefillTokensPerMS*float64(now-p.othersAt)/1000)
 	running, waiting := s.own.Requests+s.others.Requests, 0
 	if s.reportedAt > 0 && now-s.reportedAt < p.Cost.LoadMaxAgeUS {
 		waiting = s.waiting
 	}
-	us := int64((float64(s.own.PrefillTokens)+othersPrefill)/p.Cost.PrefillTokensPerMS*1000) + int64(running)*p.Cost.RunningPenaltyUS + int64(waiting)*p.Cost.WaitingPenaltyUS
+	us := int64(running)*p.Cost.RunningPenaltyUS + int64(waiting)*p.Cost.WaitingPenaltyUS
 	if e.Slots > 0 && running >= e.Slots {
 		us += int64(running-e.Slots+1) * noSlotUS
 	}
--- a/placement/coverage.go
+++ b/placement/coverage.go
@@ -70,26 +70,35 @@
 // the engine has behind a gap count as cached as soon as the source fills the gap.
 func (p *Picker) bestSource(r *Request, e *Engine, holders []map[uint64]bool, cached int) transfer {
 	own, longest, best := EngineHolderID(e.ID), cached, transfer{cached: cached}
-	consider := func(holder uint64, addr, zone string) {
+	consider := func(holder uint64, addr, zone string, tokensPerMS float64) {
 		cached, fetched := prefixCoverage(r, holders, own, holder)
 		if fetched == 0 || cached+fetched < longest {
 			return
 		}
-		us := p.Cost.transferUS(zone == e.Zone, fetched)
+		us := p.Cost.transferUS(zone == e.Zone, fetched, tokensPerMS)
 		// The longest prefix wins; among equals the cheapest transfer.
 		if cached+fetched > longest || us < best.us {
 			longest, best = cached+fetched, transfer{addr, fetched, us, cached}
 		}
 	}
 	if p.Policy.Uses(PeerTransfer) {
-		p.eachPeer(holders, own, func(peer *Engine) { consider(EngineHolderID(peer.ID), peer.Addr, peer.Zone) })
+		p.eachPeer(holders, own, func(peer *Engine) { consider(EngineHolderID(peer.ID), peer.Addr, peer.Zone, e.LinkTokensPerMS) })
 	}
 	if p.Policy.Uses(StoreTransfer) {
-		p.eachStore(func(s *Store) { consider(StoreHolderID(s.Addr), s.Addr, s.Zone) })
+		p.eachStore(func(s *Store) { consider(StoreHolderID(s.Addr), s.Addr, s.Zone, e.storeTokensPerMS(s)) })
 	}
 	return best
 }
 
+// storeTokensPerMS is how many cached tokens an engine gets from a store in a millisecond: the
+// slower link counts. 0 if not known.
+func (e *Engine) storeTokensPerMS(s *Store) float64 {
+	if e.LinkMbps <= 0 || s.LinkMbps <= 0 {
+		return e.LinkTokensPerMS
+	}
+	return e.LinkTokensPerMS * min(1, s.LinkMbps/e.LinkMbps)
+}
+
 // eachPeer calls f for each healthy engine but own that has any of the blocks.
 func (p *Picker) eachPeer(holders []map[uint64]bool, own uint64, f func(*Engine)) {
 	considered := map[uint64]bool{own: true}
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -10,13 +10,16 @@
 	Unhealthy            bool              // does not answer the fleet's health checks
 	Slots                int               // requests that it runs at one time, 0 if not known
 	CacheTokens          int64             // tokens that its memory holds, 0 if not known
+	LinkMbps             float64           // 0 if not known
+	LinkTokensPerMS      float64           // cached tokens that its link moves in a millisecond, 0 if not known
 	Weights              map[string]uint64 // version of each model it runs
 }
 
 // Store is a store of cached prompt blocks.
 type Store struct {
 	Addr, Zone string
-	Unhealthy  bool // does not answer the fleet's health checks
+	Unhealthy  bool    // does not answer the fleet's health checks
+	LinkMbps   float64 // 0 if not known
 }
 
 // Picker selects engines for one proxy. It is not safe for concurrent use.
@@ -30,20 +33,22 @@
 	// named as a Destination, since it may well have the blocks.
 	HintsComplete bool
 
-	zone      string
-	byPool    map[string][]*Engine
-	byID      map[string]*Engine
-	byHolder  map[uint64]*Engine
-	stores    []Store
-	states    map[string]*engineState // by engine id
-	othersAt  int64                   // when the others' loads were reported
-	hints     *cacheindex.HolderTable
-	holderBuf []uint64 // of holdersOf
+	zone     string
+	byPool   map[string][]*Engine
+	byID     map[string]*Engine
+	byHolder map[uint64]*Engine
+	stores   []Store
+	states   map[string]*engineState // by engine id
+	othersAt int64                   // when the others' loads were reported
+	hints    *cacheindex.HolderTable
+
+	prefillModels map[string]*prefillModel // by pool
+	holderBuf     []uint64                 // of holdersOf
 }
 
 // New makes a picker for a proxy in a zone; hints may be written meanwhile.
 func New(zone string, hints *cacheindex.HolderTable) *Picker {
-	return &Picker{Cost: DefaultCostModel(), zone: zone, hints: hints, states: map[string]*engineState{}}
+	return &Picker{Cost: DefaultCostModel(), zone: zone, hints: hints, states: map[string]*engineState{}, prefillModels: map[string]*prefillModel{}}
 }
 
 // SetFleet takes in a new map of the fleet. What is known of engines that stay is kept, and
--- a/placement/load.go
+++ b/placement/load.go
@@ -3,13 +3,14 @@
 // Load is what is under way at an engine.
 type Load struct {
 	Requests      int
-	PrefillTokens int64 // prompt tokens not read yet
+	PrefillTokens int64 // prompt tokens not read yet, as prefillWork counts them
 	MemoryTokens  int64 // that its memory holds for the requests
 }
 
 // engineState is what this proxy knows of an engine by itself.
 type engineState struct {
 	own          Load  // this proxy's requests there
+	prefillSince int64 // when the engine began to read the first of its prompts, as far as known
 	others       Load  // those of the other proxies, as last reported
 	ejectedUntil int64 // not selected until then
 	failures     int   // in a row
@@ -20,23 +21,44 @@
 const (
 	maxFailures         = 6 // beyond which they cost no more
 	maxEjectionDoubling = 4
+
+	// minPrefillLeft is the part of prompts sent and not answered that counts at least.
+	minPrefillLeft = 0.25
 )
 
+// ownPrefill is how much of this proxy's prompts an engine still has to read: it has gone on
+// since it began with the first. A part stays, since it may have been late.
+func (s *engineState) ownPrefill(now int64, usPerToken float64) float64 {
+	sent := float64(s.own.PrefillTokens)
+	return max(sent-float64(now-s.prefillSince)/usPerToken, sent*minPrefillLeft)
+}
+
 // RequestSent counts a request that goes to the chosen engine.
-func (p *Picker) RequestSent(c *Choice) {
+func (p *Picker) RequestSent(now int64, c *Choice) {
+	c.sentAt = now
 	if s := p.states[c.Engine.ID]; s != nil {
+		if s.own.PrefillTokens == 0 {
+			s.prefillSince = now
+		}
 		s.own.Requests++
-		s.own.PrefillTokens += int64(c.PrefillTokens)
+		s.own.PrefillTokens += int64(c.PrefillWork)
 		s.own.MemoryTokens += int64(c.MemoryTokens)
 	}
 }
 
 // ResponseStarted takes in the first content of an answer: the prompt is read by now, and the
 // engine works.
-func (p *Picker) ResponseStarted(c *Choice) {
-	if s := p.states[c.Engine.ID]; s != nil {
-		s.own.PrefillTokens = max(0, s.own.PrefillTokens-int64(c.PrefillTokens))
-		s.failures = 0
+func (p *Picker) ResponseStarted(now int64, c *Choice) {
+	s := p.states[c.Engine.ID]
+	if s == nil {
+		return
+	}
+	s.own.PrefillTokens = max(0, s.own.PrefillTokens-int64(c.PrefillWork))
+	s.prefillSince = now
+	s.failures = 0
+	if c.MemoryTokens > 0 && p.Policy.Uses(LearnedSpeed) {
+		us := float64(now - c.sentAt - c.transferUS)
+		p.prefillModelOf(c.Engine.Pool).learn(c.queuedTokens+float64(c.PrefillWork), us, p.Cost.PrefillTokensPerMS)
 	}
 }
 
@@ -50,17 +72,22 @@
 	s.own.Requests = max(0, s.own.Requests-1)
 	s.own.MemoryTokens = max(0, s.own.MemoryTokens-int64(c.MemoryTokens))
 	if !started {
-		s.own.PrefillTokens = max(0, s.own.PrefillTokens-int64(c.PrefillTokens))
+		s.own.PrefillTokens = max(0, s.own.PrefillTokens-int64(c.PrefillWork))
 	}
 }
 
-// OwnLoads lists what this proxy has under way, by EngineHolderID.
-func (p *Picker) OwnLoads() map[uint64]Load {
+// OwnLoads lists what this proxy has under way at the time now, by EngineHolderID.
+func (p *Picker) OwnLoads(now int64) map[uint64]Load {
 	loads := map[uint64]Load{}
 	for id, s := range p.states {
-		if s.own.Requests > 0 {
-			loads[EngineHolderID(id)] = s.own
+		if s.own.Requests == 0 {
+			continue
+		}
+		load := s.own
+		if e := p.byID[id]; e != nil {
+			load.PrefillTokens = int64(s.ownPrefill(now, p.prefillModelOf(e.Pool).usPerToken))
 		}
+		loads[EngineHolderID(id)] = load
 	}
 	return loads
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -55,9 +55,14 @@
 		MemoryTokens:   r.PromptTokens + r.MaxOutputTokens,
 		BlockKeys:      blocks.keys,
 	}
-	us := p.queueUS(now, e, r) + int64(float64(c.PrefillTokens)/p.Cost.PrefillTokensPerMS*1000)
+	model := p.prefillModelOf(e.Pool)
+	c.PrefillWork = prefillWork(r.PromptTokens, c.PrefillTokens)
+	c.queuedTokens = p.queuedTokens(now, e, model.usPerToken)
+	c.transferUS = fetch.us
+	c.PredictedUS = int64(model.predictUS(c.queuedTokens+float64(c.PrefillWork))) + fetch.us
+	us := c.PredictedUS + p.loadUS(now, e, r)
 	if c.TransferTokens > 0 {
-		us += fetch.us + p.Cost.TransferPenaltyUS
+		us += p.Cost.TransferPenaltyUS
 	}
 	if cached == 0 {
 		us += affinityUS
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -22,6 +22,8 @@
 	Ejection         Mechanism = "ejection"          // an engine that failed or rejected is left alone
 	ZonePreference   Mechanism = "zone-preference"   // engines in the proxy's zone are preferred
 	ConnectionReuse  Mechanism = "connection-reuse"  // engines with an idle connection are preferred
+	LearnedSpeed     Mechanism = "learned-speed"     // how fast engines are is learned from their answers
+	LinkSpeed        Mechanism = "link-speed"        // transfers are estimated from the links' configured speeds
 	LongKeepAlive    Mechanism = "long-keep-alive"   // idle connections are kept as long as the engine says
 	RequestPriority  Mechanism = "request-priority"  // engines are told the priority of a request
 	StreamResumption Mechanism = "stream-resumption" // a broken stream goes on at another engine
@@ -31,7 +33,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		Affinity, PeerTransfer, StoreTransfer, StoreFill, MemoryPressure, OtherLoads, ReportedLoads, Ejection,
-		ZonePreference, ConnectionReuse, LongKeepAlive, RequestPriority, StreamResumption,
+		ZonePreference, ConnectionReuse, LearnedSpeed, LinkSpeed, LongKeepAlive, RequestPriority, StreamResumption,
 	}
 }
 
--- a/placement/request.go
+++ b/placement/request.go
@@ -47,8 +47,14 @@
 	Source         string           // address to fetch cached blocks from; empty for none
 	Destination    string           // address of the store to send computed blocks to; empty for none
 	PrefillTokens  int              // that the engine has to read
+	PrefillWork    int              // the same, those of a long prompt counted for more
+	PredictedUS    int64            // until the first event, microseconds
 	TransferTokens int              // that it is told to take from Source
 	CachedTokens   int              // hinted to be there already
 	MemoryTokens   int              // that its memory holds for the request
 	BlockKeys      []cacheindex.Key // of the request's blocks under Salt
+
+	sentAt       int64   // monotonic microseconds
+	transferUS   int64   // estimated
+	queuedTokens float64 // that the engine has to read first
 }
--- a/route/config.go
+++ b/route/config.go
@@ -38,8 +38,8 @@
 	StoreAddr       string  // IP:port, if this is a store; empty for engines
 	Zone            string  // of the store
 	CacheTokens     int64   // tokens that an engine's memory holds; 0 if not known
-	BytesPerToken   int64   // of cached prompt blocks; read, and not used
-	LinkMbps        float64 // megabits a second between the store and engines; read, and not used
+	BytesPerToken   int64   // of cached prompt blocks; 0 if not known
+	LinkMbps        float64 // megabits a second of the link of the store, or of each engine; 0 if not known
 	Slots           int     // requests that an engine runs at one time
 	MaxEventReaders int     // readers of cache events that an engine serves at one time; read, and not used
 	Models          []string
