Loads of proxies reach each other within some 50 ms instead of 300

Change: a proxy reports its loads 8 ms after they change. Control nodes answer a poll 40 ms after loads changed, tell each other every 100 ms what changed, and hand on only changes (loadTable). What an engine was sent is written off once, and never below 0.4 before it answers.

--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -73,6 +73,8 @@
 	cachedBlocks map[uint64]map[cacheindex.Key]bool // what each engine and store keeps
 	events       *cacheindex.UpdateLog              // changes of cachedBlocks
 	proxies      map[string]*proxyState
+	loads        *loadTable    // what they have under way
+	broadcast    loadBroadcast // of loads
 
 	// Of the list's loop alone: which map of the list's source, the first node in line, this
 	// one's list equals, and when that node was asked.
@@ -114,6 +116,7 @@
 		readers:      map[string]*eventReader{},
 		cachedBlocks: map[uint64]map[cacheindex.Key]bool{},
 		proxies:      map[string]*proxyState{},
+		loads:        newLoadTable(),
 	}
 	d.events = cacheindex.NewUpdateLog(incarnation, maxLoggedEvents, d.cacheSnapshot)
 	return d
--- a/internal/app/directory/loads.go
+++ b/internal/app/directory/loads.go
@@ -5,87 +5,119 @@
 
 	"violetthread/cacheindex"
 	"violetthread/internal/clock"
+	"violetthread/placement"
 	"violetthread/schema/fb"
 )
 
 // Microseconds.
 const (
-	loadsLifetime = 1_500_000 // what a proxy had under way counts no longer than this
-	loadsInterval = 200_000   // between two broadcasts to the other control nodes
+	loadsLifetime     = 1_500_000 // what a proxy had under way counts no longer than this
+	loadsInterval     = 100_000   // between two broadcasts to the other control nodes
+	fullLoadsInterval = 1_000_000 // between two that say everything: a broadcast may be lost
 )
 
 // proxyState is what is known of a proxy, as it last told this node or another one.
 type proxyState struct {
 	heardAt int64
-	direct  bool // it asks this node
-	loads   []*fb.EngineLoadT
+	direct  bool                // it asks this node
 	unsent  []cacheindex.Update // of a snapshot that it gets in pages
 }
 
+// loadBroadcast is what the other control nodes were told last.
+type loadBroadcast struct {
+	revision uint64 // of the loads
+	fullAt   int64  // when everything was told
+}
+
 // recordProxy takes in what a proxy tells of itself as it asks.
 func (d *Directory) recordProxy(now int64, request *fb.MapRequestT) {
 	d.control.RecordHeartbeat(now, request.Node)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	proxy := &proxyState{heardAt: now, direct: true, loads: request.Loads}
-	if known := d.proxies[request.Node.Name]; known != nil && known.direct {
+	d.heardOf(now, request.Node.Name)
+	d.loads.set(request.Node.Name, request.LoadsSequence, request.Loads, false)
+}
+
+// heardOf notes that a proxy speaks to this node. Called under the lock.
+func (d *Directory) heardOf(now int64, name string) {
+	proxy := &proxyState{heardAt: now, direct: true}
+	if known := d.proxies[name]; known != nil && known.direct {
 		proxy.unsent = known.unsent
 	}
-	d.proxies[request.Node.Name] = proxy
+	d.proxies[name] = proxy
 }
 
 // broadcastLoads tells the other core machines what the proxies that ask here have under
 // way.
 func (d *Directory) broadcastLoads(context.Context) {
 	now := clock.Now()
-	loads := &fb.LoadUpdateT{}
 	d.mu.Lock()
-	for name, proxy := range d.proxies {
-		switch {
-		case now-proxy.heardAt > loadsLifetime:
-			delete(d.proxies, name)
-		case proxy.direct:
-			loads.Proxies = append(loads.Proxies, &fb.ProxyLoadT{Name: name, Age: now - proxy.heardAt, Loads: proxy.loads})
-		}
-	}
+	update := d.nextBroadcast(now)
 	d.mu.Unlock()
-	if len(loads.Proxies) == 0 {
-		return
+	if len(update.Proxies) > 0 {
+		d.control.Broadcast(&fb.FrameT{LoadUpdate: update})
 	}
-	d.control.Broadcast(&fb.FrameT{LoadUpdate: loads})
 }
 
-// mergeLoads takes in what another core machine broadcast; the newer one counts.
-func (d *Directory) mergeLoads(now int64, loads *fb.LoadUpdateT) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, heard := range loads.Proxies {
-		known := d.proxies[heard.Name]
-		if heard.Age >= 0 && (known == nil || known.heardAt < now-heard.Age) {
-			d.proxies[heard.Name] = &proxyState{heardAt: now - heard.Age, loads: heard.Loads}
+// nextBroadcast is what the other core machines are told now. Called under the lock.
+func (d *Directory) nextBroadcast(now int64) *fb.LoadUpdateT {
+	d.forgetSilentProxies(now)
+	last := d.broadcast
+	full := now-last.fullAt >= fullLoadsInterval
+	if full {
+		last = loadBroadcast{fullAt: now}
+	}
+	d.broadcast = loadBroadcast{d.loads.revision, last.fullAt}
+	update := &fb.LoadUpdateT{}
+	for name, proxy := range d.proxies {
+		if !proxy.direct {
+			continue
+		}
+		loads := d.loads.ofProxy(name, last.revision)
+		if full || len(loads) > 0 {
+			update.Proxies = append(update.Proxies, &fb.ProxyLoadT{
+				Name:        name,
+				Age:         now - proxy.heardAt,
+				Loads:       loads,
+				Sequence:    d.loads.sequences[name],
+				ChangedOnly: !full,
+			})
 		}
 	}
+	return update
 }
 
-// loadsOfOthers sums what all proxies but one have under way, by engine. Called under the
-// lock.
-func (d *Directory) loadsOfOthers(now int64, except string) (out []*fb.EngineLoadT) {
-	sums := map[uint64]*fb.EngineLoadT{}
+// forgetSilentProxies drops proxies that were not heard of lately, and loads of engines that
+// are gone. Called under the lock.
+func (d *Directory) forgetSilentProxies(now int64) {
 	for name, proxy := range d.proxies {
-		if name == except || now-proxy.heardAt > loadsLifetime {
+		if now-proxy.heardAt > loadsLifetime {
+			delete(d.proxies, name)
+			d.loads.forget(name)
+		}
+	}
+	live := make(map[uint64]bool, len(d.listedEngines))
+	for _, engine := range d.listedEngines {
+		live[placement.EngineHolderID(engine.ID)] = true
+	}
+	d.loads.keepEngines(live)
+}
+
+// mergeLoads takes in what another core machine broadcast, or what a proxy tells of itself
+// between two questions; the newer one counts.
+func (d *Directory) mergeLoads(now int64, update *fb.LoadUpdateT) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, heard := range update.Proxies {
+		if heard.Age < 0 || !d.loads.set(heard.Name, heard.Sequence, heard.Loads, heard.ChangedOnly) {
 			continue
 		}
-		for _, load := range proxy.loads {
-			sum := sums[load.Node]
-			if sum == nil {
-				sum = &fb.EngineLoadT{Node: load.Node}
-				sums[load.Node] = sum
-				out = append(out, sum)
-			}
-			sum.Active += load.Active
-			sum.PrefillTokens += load.PrefillTokens
-			sum.MemoryTokens += load.MemoryTokens
+		known := d.proxies[heard.Name]
+		switch {
+		case update.Direct:
+			d.heardOf(now, heard.Name)
+		case known == nil || known.heardAt < now-heard.Age:
+			d.proxies[heard.Name] = &proxyState{heardAt: now - heard.Age}
 		}
 	}
-	return out
 }
--- a/internal/app/directory/map_response.go
+++ b/internal/app/directory/map_response.go
@@ -17,6 +17,7 @@
 const (
 	maxResponseDelay = 400_000 // by which a response is delayed at the most
 	mapBatchDelay    = 60_000  // changes of the map come in lots, and go out together
+	loadBatchDelay   = 40_000  // and so do changes of loads
 )
 
 // Handle answers proxies and other nodes; nil if the frame is not for a directory.
@@ -48,12 +49,16 @@
 		if request.HaveMap != d.mapRevision {
 			end = min(end, askedAt+mapBatchDelay)
 		}
+		now := clock.Now()
+		if request.Node != nil && request.LoadsSince != d.loads.revision && now-askedAt >= loadBatchDelay {
+			end = now
+		}
 		d.mu.Unlock()
-		left := end - clock.Now()
-		if urgent || left <= 0 {
+		if urgent || now >= end {
 			return true
 		}
-		wait, cancel := context.WithTimeout(ctx, clock.Duration(left))
+		// Loads change all the time: they wake nobody, but are looked at again.
+		wait, cancel := context.WithTimeout(ctx, clock.Duration(min(end-now, loadBatchDelay)))
 		taskgroup.Receive(wait, changed)
 		cancel()
 		if ctx.Err() != nil {
@@ -108,12 +113,22 @@
 		response.AnnouncedTerm = d.announcements.Term()
 	}
 	if request.Node != nil { // another core machine follows the engines itself
-		response.Loads = d.loadsOfOthers(now, request.Node.Name)
+		d.addLoads(response, request)
 		d.addEvents(response, request)
 	}
 	return response
 }
 
+// addLoads adds what the other proxies have under way. Called under the lock.
+func (d *Directory) addLoads(response *fb.MapResponseT, request *fb.MapRequestT) {
+	since := request.LoadsSince
+	if request.Incarnation != d.incarnation || since > d.loads.revision {
+		since = 0
+	}
+	response.Loads = d.loads.others(request.Node.Name, since)
+	response.LoadsRevision, response.LoadsChangedOnly = d.loads.revision, since > 0
+}
+
 // addEvents adds the next page of cache events for a proxy. Called under the lock.
 func (d *Directory) addEvents(response *fb.MapResponseT, request *fb.MapRequestT) {
 	batch := d.nextEvents(request)
--- a/internal/app/proxy/fleet.go
+++ b/internal/app/proxy/fleet.go
@@ -1,22 +1,49 @@
 package proxy
 
 import (
+	"context"
+
 	"violetthread/cacheindex"
-	"violetthread/internal/clock"
 	"violetthread/internal/codec"
+	"violetthread/internal/taskgroup"
 	"violetthread/placement"
 	"violetthread/route"
 	"violetthread/schema/fb"
 )
 
-// loads reports what this proxy has in flight at each engine.
-func (s *server) loads() (loads []*fb.EngineLoadT) {
+// loads reports what this proxy has in flight at each engine, and the sequence number of the
+// report.
+func (s *server) loads() (loads []*fb.EngineLoadT, sequence uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for holder, l := range s.picker.OwnLoads(clock.Now()) {
+	for holder, l := range s.picker.OwnLoads() {
 		loads = append(loads, &fb.EngineLoadT{Node: holder, Active: uint32(l.Requests), PrefillTokens: uint32(l.PrefillTokens), MemoryTokens: uint32(l.MemoryTokens)})
 	}
-	return loads
+	s.loadsSequence++
+	return loads, s.loadsSequence
+}
+
+// loadsBatchUS is for how long changes of loads are gathered before control nodes are told.
+const loadsBatchUS = 8_000
+
+// loadChanged notes that something was sent to an engine, or that it has read a prompt.
+func (s *server) loadChanged() { taskgroup.TrySend(s.loadChanges, struct{}{}) }
+
+// reportLoads tells the control node that is followed what this proxy has in flight, soon
+// after it changes: whoever places requests by old loads sends them where others just did.
+func (s *server) reportLoads(ctx context.Context) {
+	for {
+		if _, ok := taskgroup.Receive(ctx, s.loadChanges); !ok || !taskgroup.Sleep(ctx, loadsBatchUS) {
+			return
+		}
+		followed := s.followed.Load()
+		if followed == nil {
+			continue
+		}
+		loads, sequence := s.loads()
+		report := &fb.ProxyLoadT{Name: s.settings.Name, Loads: loads, Sequence: sequence}
+		s.controlNodes.Get(*followed).Send(&fb.FrameT{LoadUpdate: &fb.LoadUpdateT{Proxies: []*fb.ProxyLoadT{report}, Direct: true}})
+	}
 }
 
 // setOtherLoads takes in what the other proxies have in flight, as of at, and whether the
@@ -27,7 +54,7 @@
 		others[l.Node] = placement.Load{Requests: int(l.Active), PrefillTokens: int64(l.PrefillTokens), MemoryTokens: int64(l.MemoryTokens)}
 	}
 	s.mu.Lock()
-	s.picker.SetOtherLoads(at, others)
+	s.picker.SetOtherLoads(at, others, state.LoadsChangedOnly)
 	s.picker.HintsComplete = state.Complete && !state.UpdatesReset
 	s.mu.Unlock()
 }
--- a/internal/app/proxy/follow.go
+++ b/internal/app/proxy/follow.go
@@ -33,6 +33,7 @@
 	// What this proxy has, as its next question says, so that only changes come back.
 	nodeIncarnation    uint64 // of the node that mapRevision is of
 	mapRevision        uint64
+	loadsRevision      uint64 // of that node
 	configRevision     uint64
 	updatesIncarnation uint64 // of the node that updatesNext is of
 	updatesNext        uint64 // sequence number of the next update of hints
@@ -91,6 +92,7 @@
 	case f.nodes[addr].FailedLately(now):
 		hold = retryHoldUS
 	}
+	loads, sequence := f.server.loads()
 	return &fb.MapRequestT{
 		Node:               f.server.self(),
 		Incarnation:        f.nodeIncarnation,
@@ -99,7 +101,9 @@
 		UpdatesIncarnation: f.updatesIncarnation,
 		UpdatesSince:       f.updatesNext,
 		Hold:               hold,
-		Loads:              f.server.loads(),
+		Loads:              loads,
+		LoadsSequence:      sequence,
+		LoadsSince:         f.loadsRevision,
 	}
 }
 
@@ -121,6 +125,7 @@
 	if f.current != addr {
 		f.server.daemon.Log.Info("control_node_followed", "control_node", addr, "zone", state.Zone)
 		f.current = addr
+		f.server.followed.Store(&addr)
 	}
 	return true
 }
@@ -131,6 +136,7 @@
 	if f.current == addr {
 		f.server.daemon.Log.Info("control_node_lost", "control_node", addr)
 		f.current = ""
+		f.server.followed.Store(nil)
 	}
 }
 
@@ -158,7 +164,7 @@
 	v := *s.view.Load()
 	engines, use := v.merge(state, at)
 	if state.Incarnation != f.nodeIncarnation {
-		f.nodeIncarnation, f.mapRevision = state.Incarnation, 0
+		f.nodeIncarnation, f.mapRevision, f.loadsRevision = state.Incarnation, 0, 0
 	}
 	if v.mergeConfig(state, at, s.adapter.ParseConfig) {
 		s.daemon.Log.Info("config_applied", "revision", state.Revision, "version", v.table.Version, "age_us", state.Age)
@@ -174,4 +180,5 @@
 	f.updatesIncarnation, f.updatesNext = state.UpdatesIncarnation, state.UpdatesNext
 	s.applyUpdates(state)
 	s.setOtherLoads(state, at)
+	f.loadsRevision = state.LoadsRevision
 }
--- a/internal/app/proxy/forwarded.go
+++ b/internal/app/proxy/forwarded.go
@@ -164,6 +164,7 @@
 		return choice, errNoEngine
 	}
 	s.picker.RequestSent(now, &choice)
+	s.loadChanged()
 	if retry {
 		window.CountRetry(now)
 		s.counts.retries.Add(1)
@@ -183,6 +184,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.AttemptEnded(a.choice, a.began)
+	s.loadChanged()
 	switch {
 	case end.state == attempt.NotStarted && end.cause == causeNotRun:
 		s.counts.notRun.Add(1)
--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -120,6 +120,7 @@
 	a.began = true
 	s.mu.Lock()
 	s.picker.ResponseStarted(clock.Now(), a.choice)
+	s.loadChanged()
 	s.mu.Unlock()
 	engine := placement.EngineHolderID(a.choice.Engine.ID)
 	s.hintMu.Lock()
--- a/internal/app/proxy/server.go
+++ b/internal/app/proxy/server.go
@@ -53,11 +53,14 @@
 	httpServer   atomic.Pointer[http.Server]
 	seenEngines  atomic.Bool // a map that shows engines was seen
 	counts       counts
+	followed     atomic.Pointer[string] // address of the control node that is followed; nil for none
+	loadChanges  chan struct{}          // wakes reportLoads
 
 	mu             sync.Mutex // of the fields below
 	picker         *placement.Picker
 	retryWindows   map[string]*attempt.RetryWindow // by pool
 	retryAllowance float64                         // of each window
+	loadsSequence  uint64                          // of the last report of loads
 }
 
 const (
@@ -100,6 +103,7 @@
 		hints:          cacheindex.NewHolderTable(settings.HintEntries),
 		retryWindows:   map[string]*attempt.RetryWindow{},
 		retryAllowance: 1,
+		loadChanges:    make(chan struct{}, 1),
 	}
 	s.picker = s.newPicker()
 	s.pool.longKeepAlive = settings.Policy.Uses(placement.LongKeepAlive)
@@ -112,6 +116,9 @@
 	d.Group.Go("sweep", func(ctx context.Context) {
 		taskgroup.Every(ctx, clock.Duration(sweepIntervalUS), func(context.Context) { s.pool.sweep(func(string) bool { return true }) })
 	})
+	if settings.Policy.Uses(placement.PromptLoads) {
+		d.Group.Go("loads", s.reportLoads)
+	}
 	d.OnDrain(s.drain)
 	s.registerMetrics()
 	if off := settings.Policy.Off(); off != "" {
--- a/placement/costmodel.go
+++ b/placement/costmodel.go
@@ -14,6 +14,7 @@
 	WaitingPenaltyUS    int64   // for each request that an engine reported as waiting
 	MemoryPressureFrom  float64 // part of an engine's memory that requests may take freely, 0 to 1
 	MemoryPressureUS    int64   // for a whole memory beyond that
+	MinPrefillLeft      float64 // part of the prompts that an engine was sent and has not answered that counts at least, 0 to 1
 	LoadMaxAgeUS        int64   // an engine's report of its load counts no longer than this
 }
 
@@ -31,6 +32,7 @@
 		WaitingPenaltyUS:    15_000,
 		MemoryPressureFrom:  0.5,
 		MemoryPressureUS:    600_000,
+		MinPrefillLeft:      0.4,
 		LoadMaxAgeUS:        1_000_000,
 	}
 }
@@ -89,14 +91,6 @@
 	return model
 }
 
-// queuedTokens is how many tokens of other requests an engine has to read first, as far as
-// known. What was reported is read on meanwhile.
-func (p *Picker) queuedTokens(now int64, e *Engine, usPerToken float64) float64 {
-	s := p.states[e.ID]
-	others := max(0, float64(s.others.PrefillTokens)-float64(now-p.othersAt)/usPerToken)
-	return s.ownPrefill(now, usPerToken) + others
-}
-
 // loadUS is what else is under way at an engine costs a new request there.
 func (p *Picker) loadUS(now int64, e *Engine, r *Request) int64 {
 	s := p.states[e.ID]
--- a/placement/costoverride.go
+++ b/placement/costoverride.go
@@ -23,6 +23,7 @@
 		"waiting-penalty-us":     &m.WaitingPenaltyUS,
 		"memory-pressure-from":   &m.MemoryPressureFrom,
 		"memory-pressure-us":     &m.MemoryPressureUS,
+		"min-prefill-left":       &m.MinPrefillLeft,
 		"load-max-age-us":        &m.LoadMaxAgeUS,
 	}
 }
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -39,7 +39,6 @@
 	byHolder map[uint64]*Engine
 	stores   []Store
 	states   map[string]*engineState // by engine id
-	othersAt int64                   // when the others' loads were reported
 	hints    *cacheindex.HolderTable
 
 	prefillModels map[string]*prefillModel // by pool
--- a/placement/load.go
+++ b/placement/load.go
@@ -10,7 +10,7 @@
 // engineState is what this proxy knows of an engine by itself.
 type engineState struct {
 	own          Load  // this proxy's requests there
-	prefillSince int64 // when the engine began to read the first of its prompts, as far as known
+	prefillSince int64 // when the engine began to read the prompt that it reads, as far as known
 	others       Load  // those of the other proxies, as last reported
 	ejectedUntil int64 // not selected until then
 	failures     int   // in a row
@@ -21,23 +21,29 @@
 const (
 	maxFailures         = 6 // beyond which they cost no more
 	maxEjectionDoubling = 4
-
-	// minPrefillLeft is the part of prompts sent and not answered that counts at least.
-	minPrefillLeft = 0.25
 )
 
-// ownPrefill is how much of this proxy's prompts an engine still has to read: it has gone on
-// since it began with the first. A part stays, since it may have been late.
-func (s *engineState) ownPrefill(now int64, usPerToken float64) float64 {
-	sent := float64(s.own.PrefillTokens)
-	return max(sent-float64(now-s.prefillSince)/usPerToken, sent*minPrefillLeft)
+// queuedTokens is how many tokens an engine still has to read, as far as known. It has gone on
+// with the prompt that it reads; a part stays, since that is an estimate.
+func (s *engineState) queuedTokens(now int64, usPerToken, minLeft float64) float64 {
+	sent := float64(s.own.PrefillTokens + s.others.PrefillTokens)
+	return max(sent-float64(now-s.prefillSince)/usPerToken, sent*minLeft)
+}
+
+// setOthers takes in what the other proxies have under way at an engine as of at.
+func (s *engineState) setOthers(at int64, load Load) {
+	began := s.own.PrefillTokens+s.others.PrefillTokens == 0
+	if began || load.PrefillTokens < s.others.PrefillTokens { // a prompt was read, the next one begins
+		s.prefillSince = max(s.prefillSince, at)
+	}
+	s.others = load
 }
 
 // RequestSent counts a request that goes to the chosen engine.
 func (p *Picker) RequestSent(now int64, c *Choice) {
 	c.sentAt = now
 	if s := p.states[c.Engine.ID]; s != nil {
-		if s.own.PrefillTokens == 0 {
+		if s.own.PrefillTokens+s.others.PrefillTokens == 0 {
 			s.prefillSince = now
 		}
 		s.own.Requests++
@@ -76,30 +82,28 @@
 	}
 }
 
-// OwnLoads lists what this proxy has under way at the time now, by EngineHolderID.
-func (p *Picker) OwnLoads(now int64) map[uint64]Load {
+// OwnLoads lists what this proxy has under way, by EngineHolderID.
+func (p *Picker) OwnLoads() map[uint64]Load {
 	loads := map[uint64]Load{}
 	for id, s := range p.states {
-		if s.own.Requests == 0 {
-			continue
+		if s.own.Requests > 0 {
+			loads[EngineHolderID(id)] = s.own
 		}
-		load := s.own
-		if e := p.byID[id]; e != nil {
-			load.PrefillTokens = int64(s.ownPrefill(now, p.prefillModelOf(e.Pool).usPerToken))
-		}
-		loads[EngineHolderID(id)] = load
 	}
 	return loads
 }
 
 // SetOtherLoads takes in what the other proxies have under way as of at, by EngineHolderID.
-func (p *Picker) SetOtherLoads(at int64, loads map[uint64]Load) {
+// Engines that are not named have nothing, or what they had if changedOnly is set.
+func (p *Picker) SetOtherLoads(at int64, loads map[uint64]Load, changedOnly bool) {
 	if !p.Policy.Uses(OtherLoads) {
 		return
 	}
-	p.othersAt = at
-	for id, s := range p.states {
-		s.others = loads[EngineHolderID(id)]
+	for holder, e := range p.byHolder {
+		load, named := loads[holder]
+		if named || !changedOnly {
+			p.states[e.ID].setOthers(at, load)
+		}
 	}
 }
 
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -57,7 +57,7 @@
 	}
 	model := p.prefillModelOf(e.Pool)
 	c.PrefillWork = prefillWork(r.PromptTokens, c.PrefillTokens)
-	c.queuedTokens = p.queuedTokens(now, e, model.usPerToken)
+	c.queuedTokens = p.states[e.ID].queuedTokens(now, model.usPerToken, p.Cost.MinPrefillLeft)
 	c.transferUS = fetch.us
 	c.PredictedUS = int64(model.predictUS(c.queuedTokens+float64(c.PrefillWork))) + fetch.us
 	us := c.PredictedUS + p.loadUS(now, e, r)
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -18,6 +18,7 @@
 	StoreFill        Mechanism = "store-fill"        // engines send what they computed to stores
 	MemoryPressure   Mechanism = "memory-pressure"   // full engines are avoided
 	OtherLoads       Mechanism = "other-loads"       // loads that other proxies reported count
+	PromptLoads      Mechanism = "prompt-loads"      // loads are reported as they change
 	ReportedLoads    Mechanism = "reported-loads"    // queues that engines reported count
 	Ejection         Mechanism = "ejection"          // an engine that failed or rejected is left alone
 	ZonePreference   Mechanism = "zone-preference"   // engines in the proxy's zone are preferred
@@ -32,7 +33,7 @@
 // Mechanisms lists all of them.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		Affinity, PeerTransfer, StoreTransfer, StoreFill, MemoryPressure, OtherLoads, ReportedLoads, Ejection,
+		Affinity, PeerTransfer, StoreTransfer, StoreFill, MemoryPressure, OtherLoads, PromptLoads, ReportedLoads, Ejection,
 		ZonePreference, ConnectionReuse, LearnedSpeed, LinkSpeed, LongKeepAlive, RequestPriority, StreamResumption,
 	}
 }
--- a/schema/fb/violetthread_generated.go
+++ b/schema/fb/violetthread_generated.go
@@ -6061,6 +6061,8 @@
 	UpdatesSince       uint64         `json:"updates_since"`
 	Hold               int64          `json:"hold"`
 	Loads              []*EngineLoadT `json:"loads"`
+	LoadsSequence      uint64         `json:"loads_sequence"`
+	LoadsSince         uint64         `json:"loads_since"`
 }
 
 func (t *MapRequestT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6090,6 +6092,8 @@
 	MapRequestAddUpdatesSince(builder, t.UpdatesSince)
 	MapRequestAddHold(builder, t.Hold)
 	MapRequestAddLoads(builder, loadsOffset)
+	MapRequestAddLoadsSequence(builder, t.LoadsSequence)
+	MapRequestAddLoadsSince(builder, t.LoadsSince)
 	return MapRequestEnd(builder)
 }
 
@@ -6108,6 +6112,8 @@
 		rcv.Loads(&x, j)
 		t.Loads[j] = x.UnPack()
 	}
+	t.LoadsSequence = rcv.LoadsSequence()
+	t.LoadsSince = rcv.LoadsSince()
 }
 
 func (rcv *MapRequest) UnPack() *MapRequestT {
@@ -6251,8 +6257,32 @@
 	return 0
 }
 
+func (rcv *MapRequest) LoadsSequence() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapRequest) MutateLoadsSequence(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(20, n)
+}
+
+func (rcv *MapRequest) LoadsSince() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(22))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapRequest) MutateLoadsSince(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(22, n)
+}
+
 func MapRequestStart(builder *flatbuffers.Builder) {
-	builder.StartObject(8)
+	builder.StartObject(10)
 }
 func MapRequestAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -6281,6 +6311,12 @@
 func MapRequestStartLoadsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func MapRequestAddLoadsSequence(builder *flatbuffers.Builder, loadsSequence uint64) {
+	builder.PrependUint64Slot(8, loadsSequence, 0)
+}
+func MapRequestAddLoadsSince(builder *flatbuffers.Builder, loadsSince uint64) {
+	builder.PrependUint64Slot(9, loadsSince, 0)
+}
 func MapRequestEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
@@ -6415,9 +6451,11 @@
 }
 
 type ProxyLoadT struct {
-	Name  string         `json:"name"`
-	Age   int64          `json:"age"`
-	Loads []*EngineLoadT `json:"loads"`
+	Name        string         `json:"name"`
+	Age         int64          `json:"age"`
+	Loads       []*EngineLoadT `json:"loads"`
+	Sequence    uint64         `json:"sequence"`
+	ChangedOnly bool           `json:"changed_only"`
 }
 
 func (t *ProxyLoadT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6442,6 +6480,8 @@
 	ProxyLoadAddName(builder, nameOffset)
 	ProxyLoadAddAge(builder, t.Age)
 	ProxyLoadAddLoads(builder, loadsOffset)
+	ProxyLoadAddSequence(builder, t.Sequence)
+	ProxyLoadAddChangedOnly(builder, t.ChangedOnly)
 	return ProxyLoadEnd(builder)
 }
 
@@ -6455,6 +6495,8 @@
 		rcv.Loads(&x, j)
 		t.Loads[j] = x.UnPack()
 	}
+	t.Sequence = rcv.Sequence()
+	t.ChangedOnly = rcv.ChangedOnly()
 }
 
 func (rcv *ProxyLoad) UnPack() *ProxyLoadT {
@@ -6533,8 +6575,32 @@
 	return 0
 }
 
+func (rcv *ProxyLoad) Sequence() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *ProxyLoad) MutateSequence(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(10, n)
+}
+
+func (rcv *ProxyLoad) ChangedOnly() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *ProxyLoad) MutateChangedOnly(n bool) bool {
+	return rcv._tab.MutateBoolSlot(12, n)
+}
+
 func ProxyLoadStart(builder *flatbuffers.Builder) {
-	builder.StartObject(3)
+	builder.StartObject(5)
 }
 func ProxyLoadAddName(builder *flatbuffers.Builder, name flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(name), 0)
@@ -6548,12 +6614,19 @@
 func ProxyLoadStartLoadsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func ProxyLoadAddSequence(builder *flatbuffers.Builder, sequence uint64) {
+	builder.PrependUint64Slot(3, sequence, 0)
+}
+func ProxyLoadAddChangedOnly(builder *flatbuffers.Builder, changedOnly bool) {
+	builder.PrependBoolSlot(4, changedOnly, false)
+}
 func ProxyLoadEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
 
 type LoadUpdateT struct {
 	Proxies []*ProxyLoadT `json:"proxies"`
+	Direct  bool          `json:"direct"`
 }
 
 func (t *LoadUpdateT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6575,6 +6648,7 @@
 	}
 	LoadUpdateStart(builder)
 	LoadUpdateAddProxies(builder, proxiesOffset)
+	LoadUpdateAddDirect(builder, t.Direct)
 	return LoadUpdateEnd(builder)
 }
 
@@ -6586,6 +6660,7 @@
 		rcv.Proxies(&x, j)
 		t.Proxies[j] = x.UnPack()
 	}
+	t.Direct = rcv.Direct()
 }
 
 func (rcv *LoadUpdate) UnPack() *LoadUpdateT {
@@ -6644,8 +6719,20 @@
 	return 0
 }
 
+func (rcv *LoadUpdate) Direct() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *LoadUpdate) MutateDirect(n bool) bool {
+	return rcv._tab.MutateBoolSlot(6, n)
+}
+
 func LoadUpdateStart(builder *flatbuffers.Builder) {
-	builder.StartObject(1)
+	builder.StartObject(2)
 }
 func LoadUpdateAddProxies(builder *flatbuffers.Builder, proxies flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(proxies), 0)
@@ -6653,6 +6740,9 @@
 func LoadUpdateStartProxiesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func LoadUpdateAddDirect(builder *flatbuffers.Builder, direct bool) {
+	builder.PrependBoolSlot(1, direct, false)
+}
 func LoadUpdateEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
@@ -6680,6 +6770,8 @@
 	Complete           bool                 `json:"complete"`
 	AnnouncedTerm      uint64               `json:"announced_term"`
 	AnnouncedAge       int64                `json:"announced_age"`
+	LoadsRevision      uint64               `json:"loads_revision"`
+	LoadsChangedOnly   bool                 `json:"loads_changed_only"`
 }
 
 func (t *MapResponseT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6779,6 +6871,8 @@
 	MapResponseAddComplete(builder, t.Complete)
 	MapResponseAddAnnouncedTerm(builder, t.AnnouncedTerm)
 	MapResponseAddAnnouncedAge(builder, t.AnnouncedAge)
+	MapResponseAddLoadsRevision(builder, t.LoadsRevision)
+	MapResponseAddLoadsChangedOnly(builder, t.LoadsChangedOnly)
 	return MapResponseEnd(builder)
 }
 
@@ -6833,6 +6927,8 @@
 	t.Complete = rcv.Complete()
 	t.AnnouncedTerm = rcv.AnnouncedTerm()
 	t.AnnouncedAge = rcv.AnnouncedAge()
+	t.LoadsRevision = rcv.LoadsRevision()
+	t.LoadsChangedOnly = rcv.LoadsChangedOnly()
 }
 
 func (rcv *MapResponse) UnPack() *MapResponseT {
@@ -7190,8 +7286,32 @@
 	return rcv._tab.MutateInt64Slot(46, n)
 }
 
+func (rcv *MapResponse) LoadsRevision() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(48))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *MapResponse) MutateLoadsRevision(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(48, n)
+}
+
+func (rcv *MapResponse) LoadsChangedOnly() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(50))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *MapResponse) MutateLoadsChangedOnly(n bool) bool {
+	return rcv._tab.MutateBoolSlot(50, n)
+}
+
 func MapResponseStart(builder *flatbuffers.Builder) {
-	builder.StartObject(22)
+	builder.StartObject(24)
 }
 func MapResponseAddIncarnation(builder *flatbuffers.Builder, incarnation uint64) {
 	builder.PrependUint64Slot(0, incarnation, 0)
@@ -7277,6 +7397,12 @@
 func MapResponseAddAnnouncedAge(builder *flatbuffers.Builder, announcedAge int64) {
 	builder.PrependInt64Slot(21, announcedAge, 0)
 }
+func MapResponseAddLoadsRevision(builder *flatbuffers.Builder, loadsRevision uint64) {
+	builder.PrependUint64Slot(22, loadsRevision, 0)
+}
+func MapResponseAddLoadsChangedOnly(builder *flatbuffers.Builder, loadsChangedOnly bool) {
+	builder.PrependBoolSlot(23, loadsChangedOnly, false)
+}
 func MapResponseEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
