--- a/cacheindex/updatelog.go
+++ b/cacheindex/updatelog.go
@@ -13,9 +13,10 @@
 	OpAdd      UpdateOp = iota + 1 // Node is now the nearest node, or one of the nodes, that has the block
 	OpRemove                       // Node has it no more
 	OpPrefetch                     // the block is worth fetching from Node ahead of need
+	OpReading                      // Node computes it now, and has it soon
 )
 
-var opNames = map[UpdateOp]string{OpAdd: "add", OpRemove: "remove", OpPrefetch: "prefetch"}
+var opNames = map[UpdateOp]string{OpAdd: "add", OpRemove: "remove", OpPrefetch: "prefetch", OpReading: "reading"}
 
 // String is the operation's name in logs and test output.
 func (o UpdateOp) String() string {
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -12,6 +12,7 @@
 	"violetthread/internal/taskgroup"
 	"violetthread/rollout"
 	"violetthread/route"
+	"violetthread/schema/fb"
 )
 
 // Settings of a directory.
@@ -73,8 +74,9 @@
 	cachedBlocks map[uint64]map[cacheindex.Key]bool // what each engine and store keeps
 	events       *cacheindex.UpdateLog              // changes of cachedBlocks
 	proxies      map[string]*proxyState
-	loads        *loadTable    // what they have under way
-	broadcast    loadBroadcast // of loads
+	loads        *loadTable         // what they have under way
+	broadcast    loadBroadcast      // of loads
+	unsentReads  []*fb.CacheUpdateT // for the next broadcast
 
 	// Of the list's loop alone: which map of the list's source, the first node in line, this
 	// one's list equals, and when that node was asked.
--- a/internal/app/directory/loads.go
+++ b/internal/app/directory/loads.go
@@ -73,14 +73,16 @@
 		if !proxy.direct {
 			continue
 		}
-		loads := d.loads.ofProxy(name, last.revision)
-		if full || len(loads) > 0 {
+		loads, reads := d.loads.ofProxy(name, last.revision), d.unsentReads
+		d.unsentReads = nil // they go with the first proxy, whoever told them
+		if full || len(loads)+len(reads) > 0 {
 			update.Proxies = append(update.Proxies, &fb.ProxyLoadT{
 				Name:        name,
 				Age:         now - proxy.heardAt,
 				Loads:       loads,
 				Sequence:    d.loads.sequences[name],
 				ChangedOnly: !full,
+				Updates:     reads,
 			})
 		}
 	}
@@ -109,6 +111,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, heard := range update.Proxies {
+		d.noteReads(heard.Updates, update.Direct)
 		if heard.Age < 0 || !d.loads.set(heard.Name, heard.Sequence, heard.Loads, heard.ChangedOnly) {
 			continue
 		}
@@ -121,3 +124,35 @@
 		}
 	}
 }
+
+// maxUnsentReads bounds what is kept for the other core machines of blocks that engines read.
+const maxUnsentReads = 4000
+
+// noteReads takes in which blocks engines compute, or have computed, as proxies saw: their own
+// events come later, and some never. What a proxy told this node goes on to the other core
+// machines. Called under the lock.
+func (d *Directory) noteReads(updates []*fb.CacheUpdateT, direct bool) {
+	for _, update := range updates {
+		d.noteRead(update)
+	}
+	if direct && len(d.unsentReads) < maxUnsentReads {
+		d.unsentReads = append(d.unsentReads, updates...)
+	}
+}
+
+// noteRead takes in one block that an engine computes or has computed. Called under the lock.
+func (d *Directory) noteRead(update *fb.CacheUpdateT) {
+	cached, followed := d.cachedBlocks[update.Holder]
+	if !followed {
+		return // gone, or not known yet
+	}
+	key := cacheindex.Key{Hi: update.Hi, Lo: update.Lo, Check: update.Check}
+	switch op := cacheindex.UpdateOp(update.Op); {
+	case cached[key]:
+	case op == cacheindex.OpReading:
+		d.events.Append(cacheindex.Update{Key: key, Node: update.Holder, Op: op})
+	case op == cacheindex.OpAdd:
+		cached[key] = true
+		d.events.Append(cacheindex.Update{Key: key, Node: update.Holder, Op: op})
+	}
+}
--- a/internal/app/directory/loadtable.go
+++ b/internal/app/directory/loadtable.go
@@ -4,23 +4,23 @@
 
 // load is what is under way at an engine.
 type load struct {
-	active, prefillTokens, memoryTokens uint32
+	active, prefillTokens, memoryTokens, failures uint32
 }
 
 func unpackLoad(packed *fb.EngineLoadT) load {
-	return load{packed.Active, packed.PrefillTokens, packed.MemoryTokens}
+	return load{packed.Active, packed.PrefillTokens, packed.MemoryTokens, packed.Failures}
 }
 
 func (l load) pack(engine uint64) *fb.EngineLoadT {
-	return &fb.EngineLoadT{Node: engine, Active: l.active, PrefillTokens: l.prefillTokens, MemoryTokens: l.memoryTokens}
+	return &fb.EngineLoadT{Node: engine, Active: l.active, PrefillTokens: l.prefillTokens, MemoryTokens: l.memoryTokens, Failures: l.failures}
 }
 
 func (l load) plus(other load) load {
-	return load{l.active + other.active, l.prefillTokens + other.prefillTokens, l.memoryTokens + other.memoryTokens}
+	return load{l.active + other.active, l.prefillTokens + other.prefillTokens, l.memoryTokens + other.memoryTokens, l.failures + other.failures}
 }
 
 func (l load) minus(other load) load {
-	return load{l.active - other.active, l.prefillTokens - other.prefillTokens, l.memoryTokens - other.memoryTokens}
+	return load{l.active - other.active, l.prefillTokens - other.prefillTokens, l.memoryTokens - other.memoryTokens, l.failures - other.failures}
 }
 
 // revisedLoad is a load and the revision of its table in which it changed last.
--- a/internal/app/proxy/fleet.go
+++ b/internal/app/proxy/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"violetthread/cacheindex"
+	"violetthread/internal/clock"
 	"violetthread/internal/codec"
 	"violetthread/internal/taskgroup"
 	"violetthread/placement"
@@ -11,13 +12,22 @@
 	"violetthread/schema/fb"
 )
 
+// failureUnits is how a failure is told to control nodes.
+const failureUnits = 100
+
 // loads reports what this proxy has in flight at each engine, and the sequence number of the
 // report.
 func (s *server) loads() (loads []*fb.EngineLoadT, sequence uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for holder, l := range s.picker.OwnLoads() {
-		loads = append(loads, &fb.EngineLoadT{Node: holder, Active: uint32(l.Requests), PrefillTokens: uint32(l.PrefillTokens), MemoryTokens: uint32(l.MemoryTokens)})
+	for holder, l := range s.picker.OwnLoads(clock.Now()) {
+		loads = append(loads, &fb.EngineLoadT{
+			Node:          holder,
+			Active:        uint32(l.Requests),
+			PrefillTokens: uint32(l.PrefillTokens),
+			MemoryTokens:  uint32(l.MemoryTokens),
+			Failures:      uint32(l.Failures * failureUnits),
+		})
 	}
 	s.loadsSequence++
 	return loads, s.loadsSequence
@@ -41,7 +51,7 @@
 			continue
 		}
 		loads, sequence := s.loads()
-		report := &fb.ProxyLoadT{Name: s.settings.Name, Loads: loads, Sequence: sequence}
+		report := &fb.ProxyLoadT{Name: s.settings.Name, Loads: loads, Sequence: sequence, Updates: s.takeUnreportedReads()}
 		s.controlNodes.Get(*followed).Send(&fb.FrameT{LoadUpdate: &fb.LoadUpdateT{Proxies: []*fb.ProxyLoadT{report}, Direct: true}})
 	}
 }
@@ -51,7 +61,12 @@
 func (s *server) setOtherLoads(state *fb.MapResponseT, at int64) {
 	others := map[uint64]placement.Load{}
 	for _, l := range state.Loads {
-		others[l.Node] = placement.Load{Requests: int(l.Active), PrefillTokens: int64(l.PrefillTokens), MemoryTokens: int64(l.MemoryTokens)}
+		others[l.Node] = placement.Load{
+			Requests:      int(l.Active),
+			PrefillTokens: int64(l.PrefillTokens),
+			MemoryTokens:  int64(l.MemoryTokens),
+			Failures:      float64(l.Failures) / failureUnits,
+		}
 	}
 	s.mu.Lock()
 	s.picker.SetOtherLoads(at, others, state.LoadsChangedOnly)
@@ -61,19 +76,65 @@
 
 // applyUpdates takes in changes of the prefix-cache location hints.
 func (s *server) applyUpdates(state *fb.MapResponseT) {
+	reading := s.applyHints(state)
+	if len(reading) == 0 {
+		return
+	}
+	now := clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, update := range reading {
+		s.picker.ReadingStarted(now, keyOf(update), update.Holder)
+	}
+}
+
+// applyHints takes in which blocks are cached where, and returns the updates of those that are
+// being read.
+func (s *server) applyHints(state *fb.MapResponseT) (reading []*fb.CacheUpdateT) {
 	s.hintMu.Lock()
 	defer s.hintMu.Unlock()
 	if state.UpdatesReset {
 		s.hints.Clear()
 	}
 	for _, update := range state.Updates {
-		key := cacheindex.Key{Hi: update.Hi, Lo: update.Lo, Check: update.Check}
-		if cacheindex.UpdateOp(update.Op) == cacheindex.OpAdd {
-			s.hints.Put(key, update.Holder)
-		} else {
-			s.hints.Remove(key, update.Holder)
+		switch cacheindex.UpdateOp(update.Op) {
+		case cacheindex.OpAdd:
+			s.hints.Put(keyOf(update), update.Holder)
+		case cacheindex.OpReading:
+			reading = append(reading, update)
+		default:
+			s.hints.Remove(keyOf(update), update.Holder)
 		}
 	}
+	return reading
+}
+
+func keyOf(update *fb.CacheUpdateT) cacheindex.Key {
+	return cacheindex.Key{Hi: update.Hi, Lo: update.Lo, Check: update.Check}
+}
+
+// maxUnreportedReads bounds what is kept for control nodes of blocks that engines read.
+const maxUnreportedReads = 1000
+
+// reportReads keeps what an engine reads, or has read, to be told to control nodes.
+// The caller holds s.mu.
+func (s *server) reportReads(op cacheindex.UpdateOp, engineID string, keys []cacheindex.Key) {
+	if !s.settings.Policy.Uses(placement.PromptHints) || len(s.unreportedReads)+len(keys) > maxUnreportedReads {
+		return
+	}
+	holder := placement.EngineHolderID(engineID)
+	for _, key := range keys {
+		s.unreportedReads = append(s.unreportedReads, &fb.CacheUpdateT{Hi: key.Hi, Lo: key.Lo, Check: key.Check, Holder: holder, Op: byte(op)})
+	}
+}
+
+// takeUnreportedReads empties the list.
+func (s *server) takeUnreportedReads() []*fb.CacheUpdateT {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reads := s.unreportedReads
+	s.unreportedReads = nil
+	return reads
 }
 
 // setFleet gives the picker a new map of the fleet, and closes connections to engines that
--- a/internal/app/proxy/forwarded.go
+++ b/internal/app/proxy/forwarded.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"violetthread/attempt"
+	"violetthread/cacheindex"
 	"violetthread/internal/clock"
 	"violetthread/placement"
 	"violetthread/route"
@@ -164,6 +165,7 @@
 		return choice, errNoEngine
 	}
 	s.picker.RequestSent(now, &choice)
+	s.reportReads(cacheindex.OpReading, choice.Engine.ID, choice.NewReads)
 	s.loadChanged()
 	if retry {
 		window.CountRetry(now)
--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"violetthread/attempt"
+	"violetthread/cacheindex"
 	"violetthread/internal/clock"
 	"violetthread/placement"
 )
@@ -120,6 +121,7 @@
 	a.began = true
 	s.mu.Lock()
 	s.picker.ResponseStarted(clock.Now(), a.choice)
+	s.reportReads(cacheindex.OpAdd, a.choice.Engine.ID, a.choice.NewReads)
 	s.loadChanged()
 	s.mu.Unlock()
 	engine := placement.EngineHolderID(a.choice.Engine.ID)
--- a/internal/app/proxy/server.go
+++ b/internal/app/proxy/server.go
@@ -56,11 +56,12 @@
 	followed     atomic.Pointer[string] // address of the control node that is followed; nil for none
 	loadChanges  chan struct{}          // wakes reportLoads
 
-	mu             sync.Mutex // of the fields below
-	picker         *placement.Picker
-	retryWindows   map[string]*attempt.RetryWindow // by pool
-	retryAllowance float64                         // of each window
-	loadsSequence  uint64                          // of the last report of loads
+	mu              sync.Mutex // of the fields below
+	picker          *placement.Picker
+	retryWindows    map[string]*attempt.RetryWindow // by pool
+	retryAllowance  float64                         // of each window
+	loadsSequence   uint64                          // of the last report of loads
+	unreportedReads []*fb.CacheUpdateT              // blocks that engines read, for the next report
 }
 
 const (
--- a/placement/costmodel.go
+++ b/placement/costmodel.go
@@ -12,6 +12,9 @@
 	NewConnectionShare  float64 // of the request's latency target, for an engine without an idle connection
 	RunningPenaltyUS    int64   // for each request running at an engine
 	WaitingPenaltyUS    int64   // for each request that an engine reported as waiting
+	ReadTwiceFactor     float64 // of the time to compute what another engine computes now, beyond that time itself
+	FailureUS           int64   // for each attempt that failed lately at an engine
+	OtherFailures       float64 // part of a failure that counts, if another proxy saw it
 	MemoryPressureFrom  float64 // part of an engine's memory that requests may take freely, 0 to 1
 	MemoryPressureUS    int64   // for a whole memory beyond that
 	MinPrefillLeft      float64 // part of the prompts that an engine was sent and has not answered that counts at least, 0 to 1
@@ -30,6 +33,9 @@
 		NewConnectionShare:  0.1,
 		RunningPenaltyUS:    700,
 		WaitingPenaltyUS:    15_000,
+		ReadTwiceFactor:     1,
+		FailureUS:           150_000,
+		OtherFailures:       0.5,
 		MemoryPressureFrom:  0.5,
 		MemoryPressureUS:    600_000,
 		MinPrefillLeft:      0.4,
@@ -47,8 +53,6 @@
 	unhealthyUS = 400_000
 	// noSlotUS is for each request beyond an engine's slots.
 	noSlotUS = 50_000
-	// failureUS is for each failure in a row.
-	failureUS = 30_000
 )
 
 // transferUS is how long a transfer of tokens takes over a link of a speed, as estimated.
@@ -108,7 +112,18 @@
 	if e.Unhealthy {
 		us += unhealthyUS
 	}
-	return us + int64(s.failures)*failureUS
+	return us + p.suspicionUS(now, s)
+}
+
+// suspicionUS is what lately failed attempts at an engine cost it. Those of other proxies count
+// too: at a large fleet each proxy meets an engine too seldom to find a failing one out by itself.
+// No engine is excluded by it, since the network between may be at fault.
+func (p *Picker) suspicionUS(now int64, s *engineState) int64 {
+	score := s.failures.at(now)
+	if p.Policy.Uses(SharedFailures) {
+		score += s.others.Failures * p.Cost.OtherFailures
+	}
+	return int64(min(score, maxFailureScore) * float64(p.Cost.FailureUS))
 }
 
 // memoryPressureUS is what the fill of an engine's memory costs. Requests share it with cached
--- a/placement/coverage.go
+++ b/placement/coverage.go
@@ -7,6 +7,7 @@
 	salt    string
 	keys    []cacheindex.Key
 	holders []map[uint64]bool // by block; nil if nobody is known to have it
+	readers []uint64          // by block: the engine that computes it now, 0 for none
 }
 
 // BlockKeys are the hint keys of a request's blocks under a salt.
@@ -19,10 +20,11 @@
 }
 
 // cachedBlocksOf looks a request's blocks up in the hints.
-func (p *Picker) cachedBlocksOf(r *Request, version uint64) *cachedBlocks {
+func (p *Picker) cachedBlocksOf(now int64, r *Request, version uint64) *cachedBlocks {
 	b := &cachedBlocks{salt: CacheSalt(r.CacheScope, version)}
 	b.keys = BlockKeys(r, b.salt)
 	b.holders = p.holdersOf(b.keys)
+	b.readers = p.readersOf(now, b.keys)
 	return b
 }
 
@@ -41,15 +43,15 @@
 	return holders
 }
 
-// prefixCoverage walks a prompt from its start for as long as one of two holders has each
-// block: cached counts the tokens that own has, fetched those that only source has. A source
-// of 0 is none.
-func prefixCoverage(r *Request, holders []map[uint64]bool, own, source uint64) (cached, fetched int) {
+// coverage walks a prompt from its start for as long as one of two holders has each block:
+// cached counts the tokens that own has, or will have read by the time that the request's turn
+// comes, fetched those that only source has. A source of 0 is none.
+func (b *cachedBlocks) coverage(r *Request, own, source uint64) (cached, fetched int) {
 	for i, block := range r.Blocks {
 		switch {
-		case holders[i][own]:
+		case b.holders[i][own] || b.readers[i] == own:
 			cached += block.Tokens
-		case source != 0 && holders[i][source]:
+		case source != 0 && b.holders[i][source]:
 			fetched += block.Tokens
 		default:
 			return cached, fetched
@@ -68,10 +70,10 @@
 
 // bestSource finds the best holder of what the engine lacks: an engine or a store. Blocks that
 // the engine has behind a gap count as cached as soon as the source fills the gap.
-func (p *Picker) bestSource(r *Request, e *Engine, holders []map[uint64]bool, cached int) transfer {
+func (p *Picker) bestSource(r *Request, e *Engine, blocks *cachedBlocks, cached int) transfer {
 	own, longest, best := EngineHolderID(e.ID), cached, transfer{cached: cached}
 	consider := func(holder uint64, addr, zone string, tokensPerMS float64) {
-		cached, fetched := prefixCoverage(r, holders, own, holder)
+		cached, fetched := blocks.coverage(r, own, holder)
 		if fetched == 0 || cached+fetched < longest {
 			return
 		}
@@ -82,7 +84,7 @@
 		}
 	}
 	if p.Policy.Uses(PeerTransfer) {
-		p.eachPeer(holders, own, func(peer *Engine) { consider(EngineHolderID(peer.ID), peer.Addr, peer.Zone, e.LinkTokensPerMS) })
+		p.eachPeer(blocks.holders, own, func(peer *Engine) { consider(EngineHolderID(peer.ID), peer.Addr, peer.Zone, e.LinkTokensPerMS) })
 	}
 	if p.Policy.Uses(StoreTransfer) {
 		p.eachStore(func(s *Store) { consider(StoreHolderID(s.Addr), s.Addr, s.Zone, e.storeTokensPerMS(s)) })
--- a/placement/fleet.go
+++ b/placement/fleet.go
@@ -42,12 +42,13 @@
 	hints    *cacheindex.HolderTable
 
 	prefillModels map[string]*prefillModel // by pool
-	holderBuf     []uint64                 // of holdersOf
+	pendingReads  map[cacheindex.Key]pendingRead
+	holderBuf     []uint64 // of holdersOf
 }
 
 // New makes a picker for a proxy in a zone; hints may be written meanwhile.
 func New(zone string, hints *cacheindex.HolderTable) *Picker {
-	return &Picker{Cost: DefaultCostModel(), zone: zone, hints: hints, states: map[string]*engineState{}, prefillModels: map[string]*prefillModel{}}
+	return &Picker{Cost: DefaultCostModel(), zone: zone, hints: hints, states: map[string]*engineState{}, prefillModels: map[string]*prefillModel{}, pendingReads: map[cacheindex.Key]pendingRead{}}
 }
 
 // SetFleet takes in a new map of the fleet. What is known of engines that stay is kept, and
--- a/placement/golden_digest_test.go
+++ b/placement/golden_digest_test.go
@@ -65,12 +65,12 @@
 				hints.Put(key, placement.StoreHolderID(choice.Destination))
 			}
 		}
-		picker.RequestSent(&choice)
+		picker.RequestSent(now, &choice)
 		sent = append(sent, choice)
 		if k := rnd.Intn(len(sent)); rnd.Intn(2) == 0 {
 			began := rnd.Intn(4) > 0
 			if began {
-				picker.ResponseStarted(&sent[k])
+				picker.ResponseStarted(now, &sent[k])
 			}
 			picker.AttemptEnded(&sent[k], began)
 			sent = append(sent[:k], sent[k+1:]...)
@@ -83,7 +83,7 @@
 			rnd.Intn(8) // as many draws as when the digest was written
 			picker.ReportLoad(now, engine.ID, rnd.Intn(4))
 		case 2:
-			picker.SetOtherLoads(now, map[uint64]placement.Load{placement.EngineHolderID(engine.ID): {Requests: rnd.Intn(9), PrefillTokens: rnd.Int63n(20_000), MemoryTokens: rnd.Int63n(90_000)}})
+			picker.SetOtherLoads(now, map[uint64]placement.Load{placement.EngineHolderID(engine.ID): {Requests: rnd.Intn(9), PrefillTokens: rnd.Int63n(20_000), MemoryTokens: rnd.Int63n(90_000)}}, false)
 		case 3:
 			changed := *engine
 			changed.Unhealthy = rnd.Intn(2) == 0
@@ -91,7 +91,7 @@
 			engines[slices.Index(engines, engine)] = &changed
 			picker.SetFleet(engines, stores)
 		}
-		own := picker.OwnLoads()
+		own := picker.OwnLoads(now)
 		for _, e := range engines {
 			load := own[placement.EngineHolderID(e.ID)]
 			digest.Number(int64(load.Requests))
--- a/placement/load.go
+++ b/placement/load.go
@@ -5,6 +5,10 @@
 	Requests      int
 	PrefillTokens int64 // prompt tokens not read yet, as prefillWork counts them
 	MemoryTokens  int64 // that its memory holds for the requests
+
+	// Failures is how many attempts failed there lately, older ones and those before a
+	// success counted for less.
+	Failures float64
 }
 
 // engineState is what this proxy knows of an engine by itself.
@@ -13,15 +17,12 @@
 	prefillSince int64 // when the engine began to read the prompt that it reads, as far as known
 	others       Load  // those of the other proxies, as last reported
 	ejectedUntil int64 // not selected until then
-	failures     int   // in a row
+	failures     failureScore
 	waiting      int   // requests that wait, as the engine reported last
 	reportedAt   int64 // when it did, 0 for never
 }
 
-const (
-	maxFailures         = 6 // beyond which they cost no more
-	maxEjectionDoubling = 4
-)
+const maxEjectionDoubling = 4
 
 // queuedTokens is how many tokens an engine still has to read, as far as known. It has gone on
 // with the prompt that it reads; a part stays, since that is an estimate.
@@ -42,6 +43,9 @@
 // RequestSent counts a request that goes to the chosen engine.
 func (p *Picker) RequestSent(now int64, c *Choice) {
 	c.sentAt = now
+	for _, key := range c.NewReads {
+		p.ReadingStarted(now, key, EngineHolderID(c.Engine.ID))
+	}
 	if s := p.states[c.Engine.ID]; s != nil {
 		if s.own.PrefillTokens+s.others.PrefillTokens == 0 {
 			s.prefillSince = now
@@ -61,7 +65,7 @@
 	}
 	s.own.PrefillTokens = max(0, s.own.PrefillTokens-int64(c.PrefillWork))
 	s.prefillSince = now
-	s.failures = 0
+	s.failures.succeeded(now)
 	if c.MemoryTokens > 0 && p.Policy.Uses(LearnedSpeed) {
 		us := float64(now - c.sentAt - c.transferUS)
 		p.prefillModelOf(c.Engine.Pool).learn(c.queuedTokens+float64(c.PrefillWork), us, p.Cost.PrefillTokensPerMS)
@@ -82,12 +86,15 @@
 	}
 }
 
-// OwnLoads lists what this proxy has under way, by EngineHolderID.
-func (p *Picker) OwnLoads() map[uint64]Load {
+// OwnLoads lists what this proxy has under way at the time now and what failed lately, by
+// EngineHolderID.
+func (p *Picker) OwnLoads(now int64) map[uint64]Load {
 	loads := map[uint64]Load{}
 	for id, s := range p.states {
-		if s.own.Requests > 0 {
-			loads[EngineHolderID(id)] = s.own
+		load := s.own
+		load.Failures = s.failures.at(now)
+		if load.Requests > 0 || load.Failures > 0 {
+			loads[EngineHolderID(id)] = load
 		}
 	}
 	return loads
@@ -122,8 +129,8 @@
 		return
 	}
 	if failed {
-		s.failures = min(s.failures+1, maxFailures)
-		us <<= min(s.failures-1, maxEjectionDoubling)
+		s.failures.failed(now)
+		us <<= min(int(s.failures.at(now))-1, maxEjectionDoubling)
 	}
 	s.ejectedUntil = max(s.ejectedUntil, now+us)
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -17,7 +17,7 @@
 		version := e.Weights[r.Model]
 		blocks := byVersion[version]
 		if blocks == nil {
-			blocks = p.cachedBlocksOf(r, version)
+			blocks = p.cachedBlocksOf(now, r, version)
 			byVersion[version] = blocks
 		}
 		var affinityUS int64
@@ -35,6 +35,7 @@
 		// a block again a hundred times as much.
 		best.Source = store.Addr
 	}
+	best.NewReads = byVersion[best.Version].newReads(r, &best)
 	best.Destination = p.destination(r, store, &best, byVersion[best.Version].holders)
 	return best, true
 }
@@ -42,8 +43,9 @@
 // estimate is the choice of an engine, and its estimated cost in microseconds. affinityUS is
 // the penalty for its distance from the home of the request's blocks.
 func (p *Picker) estimate(now int64, r *Request, e *Engine, blocks *cachedBlocks, affinityUS int64) (Choice, int64) {
-	cached, _ := prefixCoverage(r, blocks.holders, EngineHolderID(e.ID), 0)
-	fetch := p.bestSource(r, e, blocks.holders, cached)
+	own := EngineHolderID(e.ID)
+	cached, _ := blocks.coverage(r, own, 0)
+	fetch := p.bestSource(r, e, blocks, cached)
 	c := Choice{
 		Engine:         e,
 		Version:        e.Weights[r.Model],
@@ -64,6 +66,7 @@
 	if c.TransferTokens > 0 {
 		us += p.Cost.TransferPenaltyUS
 	}
+	us += int64(float64(blocks.readTwiceTokens(r, own, cached+fetch.tokens)) * model.usPerToken * p.Cost.ReadTwiceFactor)
 	if cached == 0 {
 		us += affinityUS
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -243,12 +243,12 @@
 			switch x := rnd.Intn(10); {
 			case x < 4 && step < 400:
 				if c, ok := f.Pick(now, request("a", fmt.Sprint("b", rnd.Intn(4)), "own")); ok {
-					f.RequestSent(&c)
+					f.RequestSent(now, &c)
 					under = append(under, on{c: c})
 				}
 			case x < 6 && len(under) > 0:
 				if u := &under[rnd.Intn(len(under))]; !u.began {
-					f.ResponseStarted(&u.c)
+					f.ResponseStarted(now, &u.c)
 					u.began = true
 				}
 			case x < 9 && len(under) > 0:
@@ -265,7 +265,7 @@
 				f.remap()
 			}
 			n := 0
-			for _, l := range f.OwnLoads() {
+			for _, l := range f.OwnLoads(now) {
 				n += l.Requests
 			}
 			if n != len(under) {
@@ -277,8 +277,8 @@
 				t.Fatalf("seed %d: %s is left with %+v", seed, id, s.own)
 			}
 		}
-		if len(f.OwnLoads()) != 0 {
-			t.Fatalf("seed %d: %v is told", seed, f.OwnLoads())
+		if len(f.OwnLoads(now)) != 0 {
+			t.Fatalf("seed %d: %v is told", seed, f.OwnLoads(now))
 		}
 	}
 }
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -15,12 +15,15 @@
 	Affinity         Mechanism = "affinity"          // a block that nobody has goes to its home
 	PeerTransfer     Mechanism = "peer-transfer"     // engines fetch cached blocks from each other
 	StoreTransfer    Mechanism = "store-transfer"    // engines fetch cached blocks from stores
+	PendingReads     Mechanism = "pending-reads"     // blocks that an engine computes now draw requests there
+	PromptHints      Mechanism = "prompt-hints"      // proxies tell each other what engines have read for them
 	StoreFill        Mechanism = "store-fill"        // engines send what they computed to stores
 	MemoryPressure   Mechanism = "memory-pressure"   // full engines are avoided
 	OtherLoads       Mechanism = "other-loads"       // loads that other proxies reported count
 	PromptLoads      Mechanism = "prompt-loads"      // loads are reported as they change
 	ReportedLoads    Mechanism = "reported-loads"    // queues that engines reported count
 	Ejection         Mechanism = "ejection"          // an engine that failed or rejected is left alone
+	SharedFailures   Mechanism = "shared-failures"   // failures that other proxies saw count
 	ZonePreference   Mechanism = "zone-preference"   // engines in the proxy's zone are preferred
 	ConnectionReuse  Mechanism = "connection-reuse"  // engines with an idle connection are preferred
 	LearnedSpeed     Mechanism = "learned-speed"     // how fast engines are is learned from their answers
@@ -33,8 +36,8 @@
 // Mechanisms lists all of them.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		Affinity, PeerTransfer, StoreTransfer, StoreFill, MemoryPressure, OtherLoads, PromptLoads, ReportedLoads, Ejection,
-		ZonePreference, ConnectionReuse, LearnedSpeed, LinkSpeed, LongKeepAlive, RequestPriority, StreamResumption,
+		Affinity, PeerTransfer, StoreTransfer, PendingReads, PromptHints, StoreFill, MemoryPressure, OtherLoads, PromptLoads, ReportedLoads, Ejection,
+		SharedFailures, ZonePreference, ConnectionReuse, LearnedSpeed, LinkSpeed, LongKeepAlive, RequestPriority, StreamResumption,
 	}
 }
 
--- a/schema/fb/violetthread_generated.go
+++ b/schema/fb/violetthread_generated.go
@@ -6326,6 +6326,7 @@
 	Active        uint32 `json:"active"`
 	PrefillTokens uint32 `json:"prefill_tokens"`
 	MemoryTokens  uint32 `json:"memory_tokens"`
+	Failures      uint32 `json:"failures"`
 }
 
 func (t *EngineLoadT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6337,6 +6338,7 @@
 	EngineLoadAddActive(builder, t.Active)
 	EngineLoadAddPrefillTokens(builder, t.PrefillTokens)
 	EngineLoadAddMemoryTokens(builder, t.MemoryTokens)
+	EngineLoadAddFailures(builder, t.Failures)
 	return EngineLoadEnd(builder)
 }
 
@@ -6345,6 +6347,7 @@
 	t.Active = rcv.Active()
 	t.PrefillTokens = rcv.PrefillTokens()
 	t.MemoryTokens = rcv.MemoryTokens()
+	t.Failures = rcv.Failures()
 }
 
 func (rcv *EngineLoad) UnPack() *EngineLoadT {
@@ -6431,8 +6434,20 @@
 	return rcv._tab.MutateUint32Slot(10, n)
 }
 
+func (rcv *EngineLoad) Failures() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *EngineLoad) MutateFailures(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(12, n)
+}
+
 func EngineLoadStart(builder *flatbuffers.Builder) {
-	builder.StartObject(4)
+	builder.StartObject(5)
 }
 func EngineLoadAddNode(builder *flatbuffers.Builder, node uint64) {
 	builder.PrependUint64Slot(0, node, 0)
@@ -6446,16 +6461,20 @@
 func EngineLoadAddMemoryTokens(builder *flatbuffers.Builder, memoryTokens uint32) {
 	builder.PrependUint32Slot(3, memoryTokens, 0)
 }
+func EngineLoadAddFailures(builder *flatbuffers.Builder, failures uint32) {
+	builder.PrependUint32Slot(4, failures, 0)
+}
 func EngineLoadEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
 
 type ProxyLoadT struct {
-	Name        string         `json:"name"`
-	Age         int64          `json:"age"`
-	Loads       []*EngineLoadT `json:"loads"`
-	Sequence    uint64         `json:"sequence"`
-	ChangedOnly bool           `json:"changed_only"`
+	Name        string          `json:"name"`
+	Age         int64           `json:"age"`
+	Loads       []*EngineLoadT  `json:"loads"`
+	Sequence    uint64          `json:"sequence"`
+	ChangedOnly bool            `json:"changed_only"`
+	Updates     []*CacheUpdateT `json:"updates"`
 }
 
 func (t *ProxyLoadT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6476,12 +6495,26 @@
 		}
 		loadsOffset = builder.EndVector(loadsLength)
 	}
+	updatesOffset := flatbuffers.UOffsetT(0)
+	if t.Updates != nil {
+		updatesLength := len(t.Updates)
+		updatesOffsets := make([]flatbuffers.UOffsetT, updatesLength)
+		for j := 0; j < updatesLength; j++ {
+			updatesOffsets[j] = t.Updates[j].Pack(builder)
+		}
+		ProxyLoadStartUpdatesVector(builder, updatesLength)
+		for j := updatesLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(updatesOffsets[j])
+		}
+		updatesOffset = builder.EndVector(updatesLength)
+	}
 	ProxyLoadStart(builder)
 	ProxyLoadAddName(builder, nameOffset)
 	ProxyLoadAddAge(builder, t.Age)
 	ProxyLoadAddLoads(builder, loadsOffset)
 	ProxyLoadAddSequence(builder, t.Sequence)
 	ProxyLoadAddChangedOnly(builder, t.ChangedOnly)
+	ProxyLoadAddUpdates(builder, updatesOffset)
 	return ProxyLoadEnd(builder)
 }
 
@@ -6497,6 +6530,13 @@
 	}
 	t.Sequence = rcv.Sequence()
 	t.ChangedOnly = rcv.ChangedOnly()
+	updatesLength := rcv.UpdatesLength()
+	t.Updates = make([]*CacheUpdateT, updatesLength)
+	for j := 0; j < updatesLength; j++ {
+		x := CacheUpdate{}
+		rcv.Updates(&x, j)
+		t.Updates[j] = x.UnPack()
+	}
 }
 
 func (rcv *ProxyLoad) UnPack() *ProxyLoadT {
@@ -6599,8 +6639,28 @@
 	return rcv._tab.MutateBoolSlot(12, n)
 }
 
+func (rcv *ProxyLoad) Updates(obj *CacheUpdate, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *ProxyLoad) UpdatesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func ProxyLoadStart(builder *flatbuffers.Builder) {
-	builder.StartObject(5)
+	builder.StartObject(6)
 }
 func ProxyLoadAddName(builder *flatbuffers.Builder, name flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(name), 0)
@@ -6620,6 +6680,12 @@
 func ProxyLoadAddChangedOnly(builder *flatbuffers.Builder, changedOnly bool) {
 	builder.PrependBoolSlot(4, changedOnly, false)
 }
+func ProxyLoadAddUpdates(builder *flatbuffers.Builder, updates flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(updates), 0)
+}
+func ProxyLoadStartUpdatesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func ProxyLoadEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
