Loads gather for 20 ms, far engines are asked less often; stall avoidance is reverted

Cause: with loads some 100 ms old the choice still saw two thirds of what waits. Questions for cache events of engines in other zones are a large part of the bytes between zones, and since proxies report what engines read, they are seldom needed soon.

Change: 4 ms at the proxy, 20 ms at a control node (1 ms for each proxy that asks, if that is more, so that answers stay below 1,000 a second), 50 ms between control nodes; engines of other zones are asked every 450 ms. loadTable keeps a list of changes, so that an answer costs what changed and not what is there. An engine that rejects is ejected from its answer on, not from before the attempt. Metrics of predicted and actual times to the first event.

Golden digests of placement and of three messages change: the policy does, and fields were added to the ends of their tables; the older frames are still decoded.

--- a/internal/app/directory/cache_events.go
+++ b/internal/app/directory/cache_events.go
@@ -16,9 +16,12 @@
 
 // Microseconds.
 const (
-	eventPollPause   = 150_000 // between questions to one engine, so that events come in lots
-	eventPollTimeout = 900_000 // for which an engine may delay an answer
-	eventPollMargin  = 400_000 // beyond that, for the answer to come
+	eventPollPause = 150_000 // between questions to one engine, so that events come in lots
+	// farEventPollPause is the pause for engines of other zones. Proxies report what engines
+	// read for them, so that news of far engines is seldom needed sooner.
+	farEventPollPause = 450_000
+	eventPollTimeout  = 900_000 // for which an engine may delay an answer
+	eventPollMargin   = 400_000 // beyond that, for the answer to come
 )
 
 // failuresUntilDown is how many questions in a row fail before an engine counts as down.
@@ -26,8 +29,8 @@
 
 // eventSource is an engine or store whose cache events are followed.
 type eventSource struct {
-	addr string
-	node uint64 // that stands for it in cache events
+	addr, zone string
+	node       uint64 // that stands for it in cache events
 }
 
 // eventSources lists, by id, what is to be followed. Engines of pools without models have no
@@ -38,11 +41,11 @@
 		return sources
 	}
 	for _, pool := range d.table.Stores() {
-		sources[placement.StoreID(pool.StoreAddr)] = eventSource{pool.StoreAddr, placement.StoreHolderID(pool.StoreAddr)}
+		sources[placement.StoreID(pool.StoreAddr)] = eventSource{pool.StoreAddr, pool.Zone, placement.StoreHolderID(pool.StoreAddr)}
 	}
 	for _, engine := range d.listedEngines {
 		if pool := d.table.Pool(engine.Pool); pool != nil && len(pool.Models) > 0 {
-			sources[engine.ID] = eventSource{engine.Addr, placement.EngineHolderID(engine.ID)}
+			sources[engine.ID] = eventSource{engine.Addr, engine.Zone, placement.EngineHolderID(engine.ID)}
 		}
 	}
 	return sources
@@ -101,6 +104,10 @@
 }
 
 func (r *eventReader) run(ctx context.Context) {
+	pause := int64(eventPollPause)
+	if r.zone != r.directory.settings.Zone {
+		pause = farEventPollPause
+	}
 	for ctx.Err() == nil {
 		question, cancel := context.WithTimeout(ctx, clock.Duration(eventPollTimeout+eventPollMargin))
 		page, err := r.directory.platform.CacheEvents(question, r.addr, r.cursor, eventPollTimeout)
@@ -109,7 +116,7 @@
 			return
 		}
 		r.handle(page, err)
-		if !taskgroup.Sleep(ctx, eventPollPause) {
+		if !taskgroup.Sleep(ctx, pause) {
 			return
 		}
 	}
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -75,6 +75,7 @@
 	events       *cacheindex.UpdateLog              // changes of cachedBlocks
 	proxies      map[string]*proxyState
 	loads        *loadTable         // what they have under way
+	proxiesHere  int                // that ask this node, as of the last broadcast
 	broadcast    loadBroadcast      // of loads
 	unsentReads  []*fb.CacheUpdateT // for the next broadcast
 
--- a/internal/app/directory/loads.go
+++ b/internal/app/directory/loads.go
@@ -5,15 +5,16 @@
 
 	"violetthread/cacheindex"
 	"violetthread/internal/clock"
-	"violetthread/placement"
 	"violetthread/schema/fb"
 )
 
 // Microseconds.
 const (
 	loadsLifetime     = 1_500_000 // what a proxy had under way counts no longer than this
-	loadsInterval     = 100_000   // between two broadcasts to the other control nodes
+	loadsInterval     = 50_000    // between two broadcasts to the other control nodes
 	fullLoadsInterval = 1_000_000 // between two that say everything: a broadcast may be lost
+	minLoadDelay      = 20_000    // for which changes of loads gather, and go out together
+	loadDelayForProxy = 1_000     // of that, for each proxy that asks
 )
 
 // proxyState is what is known of a proxy, as it last told this node or another one.
@@ -63,25 +64,27 @@
 func (d *Directory) nextBroadcast(now int64) *fb.LoadUpdateT {
 	d.forgetSilentProxies(now)
 	last := d.broadcast
-	full := now-last.fullAt >= fullLoadsInterval
-	if full {
+	if now-last.fullAt >= fullLoadsInterval {
 		last = loadBroadcast{fullAt: now}
 	}
 	d.broadcast = loadBroadcast{d.loads.revision, last.fullAt}
+	loads, changedOnly := d.loads.ofProxies(last.revision)
+	d.proxiesHere = 0
 	update := &fb.LoadUpdateT{}
 	for name, proxy := range d.proxies {
 		if !proxy.direct {
 			continue
 		}
-		loads, reads := d.loads.ofProxy(name, last.revision), d.unsentReads
+		d.proxiesHere++
+		reads := d.unsentReads
 		d.unsentReads = nil // they go with the first proxy, whoever told them
-		if full || len(loads)+len(reads) > 0 {
+		if !changedOnly || len(loads[name])+len(reads) > 0 {
 			update.Proxies = append(update.Proxies, &fb.ProxyLoadT{
 				Name:        name,
 				Age:         now - proxy.heardAt,
-				Loads:       loads,
+				Loads:       loads[name],
 				Sequence:    d.loads.sequences[name],
-				ChangedOnly: !full,
+				ChangedOnly: changedOnly,
 				Updates:     reads,
 			})
 		}
@@ -89,8 +92,13 @@
 	return update
 }
 
-// forgetSilentProxies drops proxies that were not heard of lately, and loads of engines that
-// are gone. Called under the lock.
+// loadDelay is how long a question waits for changes of loads to gather: longer the more
+// proxies ask, so that the answers cost no more than this node can bear. Called under the lock.
+func (d *Directory) loadDelay() int64 {
+	return max(minLoadDelay, int64(d.proxiesHere)*loadDelayForProxy)
+}
+
+// forgetSilentProxies drops proxies that were not heard of lately. Called under the lock.
 func (d *Directory) forgetSilentProxies(now int64) {
 	for name, proxy := range d.proxies {
 		if now-proxy.heardAt > loadsLifetime {
@@ -98,11 +106,6 @@
 			d.loads.forget(name)
 		}
 	}
-	live := make(map[uint64]bool, len(d.listedEngines))
-	for _, engine := range d.listedEngines {
-		live[placement.EngineHolderID(engine.ID)] = true
-	}
-	d.loads.keepEngines(live)
 }
 
 // mergeLoads takes in what another core machine broadcast, or what a proxy tells of itself
--- a/internal/app/directory/loadtable.go
+++ b/internal/app/directory/loadtable.go
@@ -1,6 +1,10 @@
 package directory
 
-import "violetthread/schema/fb"
+import (
+	"slices"
+
+	"violetthread/schema/fb"
+)
 
 // load is what is under way at an engine.
 type load struct {
@@ -23,23 +27,28 @@
 	return load{l.active - other.active, l.prefillTokens - other.prefillTokens, l.memoryTokens - other.memoryTokens, l.failures - other.failures}
 }
 
-// revisedLoad is a load and the revision of its table in which it changed last.
-type revisedLoad struct {
-	load
-	revision uint64
+// loadChange is a change of what a proxy has under way at an engine.
+type loadChange struct {
+	proxy  string
+	engine uint64
 }
 
+// maxLoadChanges is how many changes are remembered; who knows an older revision is told
+// everything.
+const maxLoadChanges = 1 << 12
+
 // loadTable sums what the proxies have under way at each engine, and tells what changed since
-// a revision. It is not safe for concurrent use.
+// a revision. Only what is not zero is kept. It is not safe for concurrent use.
 type loadTable struct {
-	revision  uint64                             // rises with each change
-	byProxy   map[string]map[uint64]*revisedLoad // by the proxy's name and the engine
-	sequences map[string]uint64                  // of what each proxy told last
-	sums      map[uint64]*revisedLoad            // by engine
+	revision  uint64                     // rises by one with each change, from 1; 0 stands for knowing nothing
+	byProxy   map[string]map[uint64]load // by the proxy's name and the engine
+	sequences map[string]uint64          // of what each proxy told last
+	sums      map[uint64]load            // by engine
+	changes   []loadChange               // the last ones; the very last led to revision
 }
 
 func newLoadTable() *loadTable {
-	return &loadTable{byProxy: map[string]map[uint64]*revisedLoad{}, sequences: map[string]uint64{}, sums: map[uint64]*revisedLoad{}}
+	return &loadTable{revision: 1, byProxy: map[string]map[uint64]load{}, sequences: map[string]uint64{}, sums: map[uint64]load{}}
 }
 
 // set takes in what a proxy has under way; false if something newer is known. With changedOnly,
@@ -50,9 +59,9 @@
 	}
 	t.sequences[proxy] = sequence
 	if t.byProxy[proxy] == nil {
-		t.byProxy[proxy] = map[uint64]*revisedLoad{}
+		t.byProxy[proxy] = map[uint64]load{}
 	}
-	named := map[uint64]bool{}
+	named := make(map[uint64]bool, len(packed))
 	for _, engineLoad := range packed {
 		named[engineLoad.Node] = true
 		t.change(proxy, engineLoad.Node, unpackLoad(engineLoad))
@@ -71,21 +80,25 @@
 // change puts what a proxy has at an engine, and corrects the sum.
 func (t *loadTable) change(proxy string, engine uint64, now load) {
 	known := t.byProxy[proxy][engine]
-	if known == nil {
-		known = &revisedLoad{}
-		t.byProxy[proxy][engine] = known
-	}
-	if known.load == now {
+	if known == now {
 		return
 	}
+	putLoad(t.byProxy[proxy], engine, now)
+	putLoad(t.sums, engine, t.sums[engine].minus(known).plus(now))
 	t.revision++
-	sum := t.sums[engine]
-	if sum == nil {
-		sum = &revisedLoad{}
-		t.sums[engine] = sum
+	t.changes = append(t.changes, loadChange{proxy, engine})
+	if len(t.changes) > 2*maxLoadChanges {
+		t.changes = slices.Clone(t.changes[maxLoadChanges:])
 	}
-	*sum = revisedLoad{sum.minus(known.load).plus(now), t.revision}
-	*known = revisedLoad{now, t.revision}
+}
+
+// putLoad keeps a load unless it is zero.
+func putLoad(loads map[uint64]load, engine uint64, now load) {
+	if now == (load{}) {
+		delete(loads, engine)
+		return
+	}
+	loads[engine] = now
 }
 
 // forget drops a proxy that is not heard of any more.
@@ -97,44 +110,56 @@
 	delete(t.sequences, proxy)
 }
 
-// keepEngines drops what is known of engines that are gone.
-func (t *loadTable) keepEngines(live map[uint64]bool) {
-	for engine, sum := range t.sums {
-		if sum.load == (load{}) && !live[engine] {
-			delete(t.sums, engine)
-			for _, loads := range t.byProxy {
-				delete(loads, engine)
-			}
-		}
+// changesSince lists the changes after a revision; false if they are not remembered.
+func (t *loadTable) changesSince(revision uint64) ([]loadChange, bool) {
+	if revision == 0 || revision > t.revision || t.revision-revision > uint64(len(t.changes)) {
+		return nil, false
 	}
+	return t.changes[uint64(len(t.changes))-(t.revision-revision):], true
 }
 
-// others lists what all proxies but one have under way, at engines where that changed since a
-// revision; since 0, where there is anything.
-func (t *loadTable) others(except string, since uint64) (out []*fb.EngineLoadT) {
+// others lists what all proxies but one have under way: at the engines where that changed after
+// a revision, or everywhere if that is not remembered.
+func (t *loadTable) others(except string, since uint64) (out []*fb.EngineLoadT, changedOnly bool) {
 	own := t.byProxy[except]
-	for engine, sum := range t.sums {
-		if sum.revision <= since {
-			continue
-		}
-		rest := sum.load
-		if mine := own[engine]; mine != nil {
-			rest = rest.minus(mine.load)
+	changes, remembered := t.changesSince(since)
+	if !remembered {
+		for engine, sum := range t.sums {
+			if rest := sum.minus(own[engine]); rest != (load{}) {
+				out = append(out, rest.pack(engine))
+			}
 		}
-		if since > 0 || rest != (load{}) {
-			out = append(out, rest.pack(engine))
+		return out, false
+	}
+	named := map[uint64]bool{}
+	for _, change := range changes {
+		if change.proxy != except && !named[change.engine] {
+			named[change.engine] = true
+			out = append(out, t.sums[change.engine].minus(own[change.engine]).pack(change.engine))
 		}
 	}
-	return out
+	return out, true
 }
 
-// ofProxy lists what a proxy has under way, at engines where that changed since a revision;
-// since 0, where there is anything.
-func (t *loadTable) ofProxy(proxy string, since uint64) (out []*fb.EngineLoadT) {
-	for engine, known := range t.byProxy[proxy] {
-		if known.revision > since && (since > 0 || known.load != (load{})) {
-			out = append(out, known.pack(engine))
+// ofProxies lists what each proxy has under way: at the engines where that changed after a
+// revision, or everywhere if that is not remembered.
+func (t *loadTable) ofProxies(since uint64) (out map[string][]*fb.EngineLoadT, changedOnly bool) {
+	out = map[string][]*fb.EngineLoadT{}
+	changes, remembered := t.changesSince(since)
+	if !remembered {
+		for proxy, loads := range t.byProxy {
+			for engine, known := range loads {
+				out[proxy] = append(out[proxy], known.pack(engine))
+			}
+		}
+		return out, false
+	}
+	named := map[loadChange]bool{}
+	for _, change := range changes {
+		if !named[change] {
+			named[change] = true
+			out[change.proxy] = append(out[change.proxy], t.byProxy[change.proxy][change.engine].pack(change.engine))
 		}
 	}
-	return out
+	return out, true
 }
--- a/internal/app/directory/map_response.go
+++ b/internal/app/directory/map_response.go
@@ -17,7 +17,6 @@
 const (
 	maxResponseDelay = 400_000 // by which a response is delayed at the most
 	mapBatchDelay    = 60_000  // changes of the map come in lots, and go out together
-	loadBatchDelay   = 40_000  // and so do changes of loads
 )
 
 // Handle answers proxies and other nodes; nil if the frame is not for a directory.
@@ -50,7 +49,8 @@
 			end = min(end, askedAt+mapBatchDelay)
 		}
 		now := clock.Now()
-		if request.Node != nil && request.LoadsSince != d.loads.revision && now-askedAt >= loadBatchDelay {
+		loadDelay := d.loadDelay()
+		if request.Node != nil && request.LoadsSince != d.loads.revision && now-askedAt >= loadDelay {
 			end = now
 		}
 		d.mu.Unlock()
@@ -58,7 +58,7 @@
 			return true
 		}
 		// Loads change all the time: they wake nobody, but are looked at again.
-		wait, cancel := context.WithTimeout(ctx, clock.Duration(min(end-now, loadBatchDelay)))
+		wait, cancel := context.WithTimeout(ctx, clock.Duration(min(end-now, loadDelay)))
 		taskgroup.Receive(wait, changed)
 		cancel()
 		if ctx.Err() != nil {
@@ -122,11 +122,11 @@
 // addLoads adds what the other proxies have under way. Called under the lock.
 func (d *Directory) addLoads(response *fb.MapResponseT, request *fb.MapRequestT) {
 	since := request.LoadsSince
-	if request.Incarnation != d.incarnation || since > d.loads.revision {
+	if request.Incarnation != d.incarnation {
 		since = 0
 	}
-	response.Loads = d.loads.others(request.Node.Name, since)
-	response.LoadsRevision, response.LoadsChangedOnly = d.loads.revision, since > 0
+	response.Loads, response.LoadsChangedOnly = d.loads.others(request.Node.Name, since)
+	response.LoadsRevision = d.loads.revision
 }
 
 // addEvents adds the next page of cache events for a proxy. Called under the lock.
--- a/internal/app/proxy/admission.go
+++ b/internal/app/proxy/admission.go
@@ -124,7 +124,6 @@
 		Blocks:          f.info.Blocks,
 		PromptTokens:    f.info.PromptTokens,
 		MaxOutputTokens: f.info.MaxOutputTokens,
-		EventGapUS:      f.route.EventGapUS,
 		LatencyTargetUS: f.route.LatencyTargetUS,
 		CacheScope:      f.view.table.CacheScope(tenant),
 		TriedEngines:    map[string]bool{},
--- a/internal/app/proxy/export_test.go
+++ b/internal/app/proxy/export_test.go
@@ -40,6 +40,7 @@
 		hints:          cacheindex.NewHolderTable(64),
 		retryWindows:   map[string]*attempt.RetryWindow{},
 		retryAllowance: 1e9,
+		decisions:      newDecisionMetrics(),
 		loadChanges:    make(chan struct{}, 1),
 	}
 	c.pool.dialTimeoutUS = patienceUS // the machine may be busy with other tests
--- a/internal/app/proxy/fleet.go
+++ b/internal/app/proxy/fleet.go
@@ -34,7 +34,7 @@
 }
 
 // loadsBatchUS is for how long changes of loads are gathered before control nodes are told.
-const loadsBatchUS = 8_000
+const loadsBatchUS = 4_000
 
 // loadChanged notes that something was sent to an engine, or that it has read a prompt.
 func (s *server) loadChanged() { taskgroup.TrySend(s.loadChanges, struct{}{}) }
--- a/internal/app/proxy/forwarded.go
+++ b/internal/app/proxy/forwarded.go
@@ -141,7 +141,7 @@
 	f.forward.Attempts = append(f.forward.Attempts, attempt.Attempt{ID: id, Engine: choice.Engine.ID, State: attempt.Sent})
 	a := &engineAttempt{forwarded: f, choice: &choice, id: id}
 	end := a.run()
-	f.release(now, a, end)
+	f.release(a, end)
 	if f.request.Context().Err() != nil && end.state != attempt.Completed {
 		f.forward.StopReason = reasonCallerGone
 	}
@@ -181,7 +181,8 @@
 
 // release takes an attempt that has ended off its engine's load, and ejects an engine that
 // failed or rejected it.
-func (f *forwardedRequest) release(now int64, a *engineAttempt, end outcome) {
+func (f *forwardedRequest) release(a *engineAttempt, end outcome) {
+	now := clock.Now()
 	s, engine := f.server, a.choice.Engine.ID
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -196,9 +197,9 @@
 		s.picker.Eject(now, engine, ejectMisdirectedUS, true)
 		f.placement.Misdirected = true
 	case a.unreached:
-		s.picker.Eject(clock.Now(), engine, ejectInterruptedUS, true)
+		s.picker.Eject(now, engine, ejectInterruptedUS, true)
 	case end.state == attempt.Interrupted && end.cause != reasonCallerGone && end.cause != reasonDeadlinePassed:
 		s.counts.interrupted.Add(1)
-		s.picker.Eject(clock.Now(), engine, ejectInterruptedUS, true)
+		s.picker.Eject(now, engine, ejectInterruptedUS, true)
 	}
 }
--- a/internal/app/proxy/metrics.go
+++ b/internal/app/proxy/metrics.go
@@ -3,7 +3,11 @@
 import (
 	"sync/atomic"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"violetthread/internal/clock"
+	"violetthread/internal/daemon"
+	"violetthread/placement"
 )
 
 // counts are counters since the start.
@@ -33,6 +37,45 @@
 	counter("tokens_read", "prompt tokens that engines had to read, as estimated", &c.prefillTokens)
 	counter("tokens_moved", "prompt tokens that engines were told to take", &c.transferTokens)
 	counter("tokens_hit", "prompt tokens hinted to be kept where they were needed", &c.cachedTokens)
+	s.decisions.register(s.daemon.Metrics)
 	s.daemon.Gauge("config_age_us", "time since the configuration was known to be in force", func() float64 { return float64(s.view.Load().age(clock.Now())) })
 	s.daemon.Gauge("hints", "entries in the hint table", func() float64 { return float64(s.hints.Len()) })
 }
+
+// decisionMetrics show how well placement decides: what it predicted for the engines that it
+// chose, and what came.
+type decisionMetrics struct {
+	firstEvent prometheus.Histogram // seconds
+	prediction prometheus.Histogram // predicted time to the first event, in parts of the actual one
+}
+
+func newDecisionMetrics() *decisionMetrics {
+	return &decisionMetrics{
+		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: daemon.MetricNamespace,
+			Name:      "first_event_seconds",
+			Help:      "time from sending a request with a prompt to the first event of its answer",
+			Buckets:   prometheus.ExponentialBuckets(0.025, 2, 10),
+		}),
+		prediction: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: daemon.MetricNamespace,
+			Name:      "first_event_predicted_ratio",
+			Help:      "predicted time to the first event, divided by the actual one",
+			Buckets:   []float64{0.25, 0.5, 0.75, 0.8, 1, 1.25, 1.5, 2, 4},
+		}),
+	}
+}
+
+func (m *decisionMetrics) register(registry prometheus.Registerer) {
+	registry.MustRegister(m.firstEvent, m.prediction)
+}
+
+// observe takes in that the answer to a choice began at the time now.
+func (m *decisionMetrics) observe(now int64, c *placement.Choice) {
+	actual := now - c.SentAt()
+	if c.MemoryTokens == 0 || actual <= 0 {
+		return // not a request with a prompt
+	}
+	m.firstEvent.Observe(float64(actual) / 1e6)
+	m.prediction.Observe(float64(c.PredictedUS) / float64(actual))
+}
--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -119,8 +119,10 @@
 func (a *engineAttempt) responseStarted() {
 	s := a.forwarded.server
 	a.began = true
+	now := clock.Now()
+	s.decisions.observe(now, a.choice)
 	s.mu.Lock()
-	s.picker.ResponseStarted(clock.Now(), a.choice)
+	s.picker.ResponseStarted(now, a.choice)
 	s.reportReads(cacheindex.OpAdd, a.choice.Engine.ID, a.choice.NewReads)
 	s.loadChanged()
 	s.mu.Unlock()
--- a/internal/app/proxy/server.go
+++ b/internal/app/proxy/server.go
@@ -53,6 +53,7 @@
 	httpServer   atomic.Pointer[http.Server]
 	seenEngines  atomic.Bool // a map that shows engines was seen
 	counts       counts
+	decisions    *decisionMetrics
 	followed     atomic.Pointer[string] // address of the control node that is followed; nil for none
 	loadChanges  chan struct{}          // wakes reportLoads
 
@@ -104,6 +105,7 @@
 		hints:          cacheindex.NewHolderTable(settings.HintEntries),
 		retryWindows:   map[string]*attempt.RetryWindow{},
 		retryAllowance: 1,
+		decisions:      newDecisionMetrics(),
 		loadChanges:    make(chan struct{}, 1),
 	}
 	s.picker = s.newPicker()
--- a/internal/codec/golden_frames_test.go
+++ b/internal/codec/golden_frames_test.go
@@ -13,10 +13,14 @@
 	"violetthread/schema/fb"
 )
 
-// goldenFrames holds one frame of each message, as commit 150d7f5 encoded them. Messages
-// and their fields count by their place in the schema, not by their names.
+// goldenFrames holds one frame of each message with all its fields. Messages and their fields
+// count by their place in the schema, not by their names.
 const goldenFrames = "testdata/golden_frames.bin"
 
+// olderGoldenFrames holds the same as commit f8592ad encoded them, before fields were added to
+// the ends of the messages about maps and loads.
+const olderGoldenFrames = "testdata/golden_frames_f8592ad.bin"
+
 // goldenFiller sets all fields of a message to values that follow from their place.
 type goldenFiller struct{ place uint64 }
 
@@ -88,6 +92,44 @@
 	}
 }
 
+// TestOlderGoldenFrames decodes what earlier versions sent: frames of messages that have not
+// grown are the same to the byte, in the others what was known is read and what is new is zero.
+func TestOlderGoldenFrames(t *testing.T) {
+	stored, err := os.ReadFile(olderGoldenFrames)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader := bytes.NewReader(stored)
+	for i, want := range expectedGoldenFrames() {
+		got, err := codec.ReadFrame(reader)
+		if err != nil {
+			t.Fatalf("frame %d: %v", i, err)
+		}
+		switch {
+		case want.MapRequest != nil:
+			request := got.MapRequest
+			if !reflect.DeepEqual(request.Node, want.MapRequest.Node) || request.Hold != want.MapRequest.Hold || len(request.Loads) != 2 || request.LoadsSequence != 0 || request.LoadsSince != 0 {
+				t.Errorf("frame %d is decoded as %+v", i, request)
+			}
+		case want.MapResponse != nil:
+			response := got.MapResponse
+			if !reflect.DeepEqual(response.Engines, want.MapResponse.Engines) || len(response.Loads) != 2 || response.LoadsRevision != 0 || response.LoadsChangedOnly {
+				t.Errorf("frame %d is decoded as %+v", i, response)
+			}
+		case want.LoadUpdate != nil:
+			update := got.LoadUpdate
+			if len(update.Proxies) != 2 || update.Direct || update.Proxies[0].Name != want.LoadUpdate.Proxies[0].Name || update.Proxies[0].Loads[0].Active != want.LoadUpdate.Proxies[0].Loads[0].Active || update.Proxies[0].Sequence != 0 {
+				t.Errorf("frame %d is decoded as %+v", i, update)
+			}
+		case !reflect.DeepEqual(got, want):
+			t.Errorf("frame %d is decoded as %+v, not %+v", i, got, want)
+		}
+	}
+	if reader.Len() > 0 {
+		t.Errorf("%d bytes are left", reader.Len())
+	}
+}
+
 // TestGoldenFramesCutShort reads each stored frame cut short at every offset.
 func TestGoldenFramesCutShort(t *testing.T) {
 	stored, err := os.ReadFile(goldenFrames)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -6,18 +6,18 @@
 	"violetthread/internal/transport"
 )
 
-// namespace is the first part of every metric's name.
-const namespace = "violetthread"
+// MetricNamespace is the first part of every metric's name.
+const MetricNamespace = "violetthread"
 
 // Gauge shows a value as a metric. read is called at each scrape, from any goroutine.
 func (d *Daemon) Gauge(name, help string, read func() float64) {
-	d.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+	d.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: MetricNamespace, Name: name, Help: help}, read))
 }
 
 // Counter shows a count that only grows as a metric. read is called at each scrape, from
 // any goroutine.
 func (d *Daemon) Counter(name, help string, read func() float64) {
-	d.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, read))
+	d.Metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: MetricNamespace, Name: name, Help: help}, read))
 }
 
 // countTraffic shows what went over the process's own connections.
--- a/placement/costoverride.go
+++ b/placement/costoverride.go
@@ -21,7 +21,6 @@
 		"new-connection-share":   &m.NewConnectionShare,
 		"running-penalty-us":     &m.RunningPenaltyUS,
 		"waiting-penalty-us":     &m.WaitingPenaltyUS,
-		"stall-factor":           &m.StallFactor,
 		"read-twice-factor":      &m.ReadTwiceFactor,
 		"failure-us":             &m.FailureUS,
 		"other-failures":         &m.OtherFailures,
--- a/placement/load.go
+++ b/placement/load.go
@@ -40,6 +40,9 @@
 	s.others = load
 }
 
+// SentAt is when RequestSent counted the request, in monotonic microseconds.
+func (c *Choice) SentAt() int64 { return c.sentAt }
+
 // RequestSent counts a request that goes to the chosen engine.
 func (p *Picker) RequestSent(now int64, c *Choice) {
 	c.sentAt = now
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -62,7 +62,7 @@
 	c.queuedTokens = p.states[e.ID].queuedTokens(now, model.usPerToken, p.Cost.MinPrefillLeft)
 	c.transferUS = fetch.us
 	c.PredictedUS = int64(model.predictUS(c.queuedTokens+float64(c.PrefillWork))) + fetch.us
-	us := c.PredictedUS + p.loadUS(now, e, r) + p.stallUS(e, r, float64(c.PrefillWork)*model.usPerToken)
+	us := c.PredictedUS + p.loadUS(now, e, r)
 	if c.TransferTokens > 0 {
 		us += p.Cost.TransferPenaltyUS
 	}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -21,7 +21,6 @@
 	MemoryPressure   Mechanism = "memory-pressure"   // full engines are avoided
 	OtherLoads       Mechanism = "other-loads"       // loads that other proxies reported count
 	PromptLoads      Mechanism = "prompt-loads"      // loads are reported as they change
-	StallAvoidance   Mechanism = "stall-avoidance"   // long prompts are kept off engines that run many streams
 	ReportedLoads    Mechanism = "reported-loads"    // queues that engines reported count
 	Ejection         Mechanism = "ejection"          // an engine that failed or rejected is left alone
 	SharedFailures   Mechanism = "shared-failures"   // failures that other proxies saw count
@@ -37,7 +36,7 @@
 // Mechanisms lists all of them.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		Affinity, PeerTransfer, StoreTransfer, PendingReads, PromptHints, StoreFill, MemoryPressure, OtherLoads, PromptLoads, StallAvoidance, ReportedLoads, Ejection,
+		Affinity, PeerTransfer, StoreTransfer, PendingReads, PromptHints, StoreFill, MemoryPressure, OtherLoads, PromptLoads, ReportedLoads, Ejection,
 		SharedFailures, ZonePreference, ConnectionReuse, LearnedSpeed, LinkSpeed, LongKeepAlive, RequestPriority, StreamResumption,
 	}
 }
--- a/placement/request.go
+++ b/placement/request.go
@@ -15,7 +15,6 @@
 	Blocks          []Block // in the prompt's order; the last one is the request's own
 	PromptTokens    int
 	MaxOutputTokens int
-	EventGapUS      int64           // longest pause between events of a stream that is in time, in microseconds; 0 for none
 	LatencyTargetUS int64           // microseconds within which the first event is in time, 0 for none
 	CacheScope      string          // of the tenant, route.Table.CacheScope
 	TriedEngines    map[string]bool // ids of engines that it went to before
--- a/route/config.go
+++ b/route/config.go
@@ -16,7 +16,7 @@
 	Semantics          Semantics
 	TimeoutUS          int64          // microseconds for the whole request, above 0
 	LatencyTargetUS    int64          // microseconds within which an answer, or its first event, is in time; 0 for none
-	EventGapUS         int64          // longest pause between events that is in time, in microseconds; 0 for none
+	EventGapUS         int64          // longest pause between events that is in time, in microseconds; 0 for none; read, and not used
 	Priority           int            // 0 is the highest
 	Split              []WeightedPool // where its requests go
 	MaxEngines         int            // engines that one request may be sent to, at the most
