Sight: answers that began past the bound on weights, and overdue rollouts, are logged

Change: answer_outdated (proxy) with the announcement's age at dispatch and at the first event, counter answers_outdated; rollout_overdue (leader). No decision changes.

--- a/internal/app/directory/logging.go
+++ b/internal/app/directory/logging.go
@@ -13,6 +13,10 @@
 	d.log.Info("rollout_state_unreadable", "key", RolloutKey, "cause", err.Error())
 }
 
+func (d *Directory) logRolloutOverdue(late rollout.Overdue) {
+	d.log.Info("rollout_overdue", "model", late.Model, "version", late.Version, "engines", late.Engines)
+}
+
 func (d *Directory) logWeightUpdate(request rollout.UpdateRequest, fencingToken uint64, result UpdateResult) {
 	d.log.Info("weight_update", "engine", request.Engine, "model", request.Model, "version", request.Version,
 		"fencing_token", fencingToken, "result", result.String())
--- a/internal/app/directory/weights_role.go
+++ b/internal/app/directory/weights_role.go
@@ -39,6 +39,7 @@
 	startedAt     int64      // when it first made a scheduler under this lease
 	sentAt        map[string]int64
 	inspectedAt   map[string]int64
+	overdue       map[string]uint64  // version of each model that was logged as overdue last
 	scheduler     *rollout.Scheduler // nil: it is to be made from the register
 	stateRevision uint64             // of the rollout's register as written here
 }
@@ -48,6 +49,7 @@
 		leaderID:    fmt.Sprintf("%s#%x", name, incarnation),
 		inspectedAt: map[string]int64{},
 		sentAt:      map[string]int64{},
+		overdue:     map[string]uint64{},
 	}
 	role.lease.Store(&rollout.Lease{})
 	return role
--- a/internal/app/proxy/metrics.go
+++ b/internal/app/proxy/metrics.go
@@ -15,6 +15,7 @@
 	arrived, done, rejected, lost, aborted      atomic.Int64 // requests of callers
 	sends, retries, notRun, interrupted         atomic.Int64 // attempts
 	resumed                                     atomic.Int64 // streams
+	outdated                                    atomic.Int64 // answers that began on weights past their bound
 	prefillTokens, transferTokens, cachedTokens atomic.Int64
 }
 
@@ -34,6 +35,7 @@
 	counter("sends_skipped", "turned away by engines", &c.notRun)
 	counter("sends_broken", "lost after they were sent", &c.interrupted)
 	counter("streams_resumed", "streams taken up at another engine", &c.resumed)
+	counter("answers_outdated", "answers that began on weights after the bound on newer ones", &c.outdated)
 	counter("tokens_read", "prompt tokens that engines had to read, as estimated", &c.prefillTokens)
 	counter("tokens_moved", "prompt tokens that engines were told to take", &c.transferTokens)
 	counter("tokens_hit", "prompt tokens hinted to be kept where they were needed", &c.cachedTokens)
--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -121,6 +121,7 @@
 	a.began = true
 	now := clock.Now()
 	s.decisions.observe(now, a.choice)
+	a.checkVersionAge(now)
 	s.mu.Lock()
 	s.picker.ResponseStarted(now, a.choice)
 	s.reportReads(cacheindex.OpAdd, a.choice.Engine.ID, a.choice.NewReads)
--- a/internal/app/proxy/view.go
+++ b/internal/app/proxy/view.go
@@ -57,6 +57,15 @@
 	return v.announced.OldestAllowed(now, model, within)
 }
 
+// supersededAt is since when a version newer than the given one is known to be announced, and
+// whether there is one.
+func (v *view) supersededAt(model string, version uint64) (at int64, ok bool) {
+	if v.announced == nil {
+		return 0, false
+	}
+	return v.announced.SupersededAt(model, version)
+}
+
 // merge takes in the fleet's state as a node knows it, which left the node no sooner than at.
 // It returns the map to be used from now on, if that is another one.
 func (v *view) merge(state *fb.MapResponseT, at int64) (engines []*fb.MapEngineT, use bool) {
--- a/rollout/scheduler_test.go
+++ b/rollout/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -227,3 +228,22 @@
 		}
 	}
 }
+
+// TestOverdue: a model is overdue while an engine that is to stay lags behind after the bound.
+func TestOverdue(t *testing.T) {
+	scheduler := New(DefaultConfig(applyWithin, leaseDuration), 0, 0, State{})
+	scheduler.Announce("m", 2, 0)
+	scheduler.Announce("n", 5, 0)
+	engines := []Engine{
+		{ID: "late", Weights: map[string]uint64{"m": 1, "n": 5}},
+		{ID: "current", Weights: map[string]uint64{"m": 2}},
+		{ID: "leaves", Draining: true, Weights: map[string]uint64{"n": 4}},
+	}
+	if got := scheduler.Overdue(applyWithin, engines); len(got) != 0 {
+		t.Errorf("%+v within the bound", got)
+	}
+	want := []Overdue{{Model: "m", Version: 2, Engines: 1}}
+	if got := scheduler.Overdue(applyWithin+1, engines); !slices.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/route/announcements.go
+++ b/route/announcements.go
@@ -101,6 +101,17 @@
 	return at, ok
 }
 
+// SupersededAt is the earliest time at which a version newer than the given one was announced,
+// and whether there is one. The bound on the given version counts from there.
+func (a *Announcements) SupersededAt(model string, version uint64) (at int64, ok bool) {
+	for newer, announcedAt := range a.models[model] {
+		if newer > version && (!ok || announcedAt < at) {
+			at, ok = announcedAt, true
+		}
+	}
+	return at, ok
+}
+
 // Each hands on every version, models by name and versions rising.
 func (a *Announcements) Each(on func(model string, version uint64, at int64)) {
 	for _, model := range slices.Sorted(maps.Keys(a.models)) {
--- a/route/announcements_test.go
+++ b/route/announcements_test.go
@@ -103,3 +103,17 @@
 		t.Errorf("%d versions are kept, the newest %v", count, ok)
 	}
 }
+
+// TestSupersededAt: the bound on a version counts from the earliest newer one.
+func TestSupersededAt(t *testing.T) {
+	a := announced(3, map[uint64]int64{2: 700, 3: 400, 5: 900})
+	for version, want := range map[uint64]int64{1: 400, 2: 400, 3: 900, 4: 900, 5: 0, 6: 0} {
+		at, superseded := a.SupersededAt("m", version)
+		if at != want || superseded != (want > 0) {
+			t.Errorf("version %d: %d, %v, want %d", version, at, superseded, want)
+		}
+	}
+	if _, superseded := a.SupersededAt("other", 1); superseded {
+		t.Error("a model that nobody announced is superseded")
+	}
+}
