--- a/internal/app/directory/logging.go
+++ b/internal/app/directory/logging.go
@@ -13,8 +13,8 @@
 	d.log.Info("rollout_state_unreadable", "key", RolloutKey, "cause", err.Error())
 }
 
-func (d *Directory) logRolloutOverdue(late rollout.Overdue) {
-	d.log.Info("rollout_overdue", "model", late.Model, "version", late.Version, "engines", late.Engines)
+func (d *Directory) logRolloutOverdue(model string, newest uint64, engines int) {
+	d.log.Info("rollout_overdue", "model", model, "version", newest, "engines", engines)
 }
 
 func (d *Directory) logWeightUpdate(request rollout.UpdateRequest, fencingToken uint64, result UpdateResult) {
--- a/internal/app/directory/rollout.go
+++ b/internal/app/directory/rollout.go
@@ -53,9 +53,8 @@
 func (d *Directory) stepRollout(ctx context.Context, now int64, lease rollout.Lease) {
 	role := d.role
 	engines := d.engineStates()
-	listed := slices.Collect(maps.Values(engines))
-	requests, inspect, changed := role.scheduler.Step(now, listed)
-	d.reportOverdue(role.scheduler.Overdue(now, listed))
+	requests, inspect, changed := role.scheduler.Step(now, slices.Collect(maps.Values(engines)))
+	d.reportOverdue(now, engines)
 	if changed && !d.saveState(ctx, role) {
 		return
 	}
@@ -71,16 +70,6 @@
 	}
 }
 
-// reportOverdue logs once for each version that engines still lag behind it after its bound.
-func (d *Directory) reportOverdue(overdue []rollout.Overdue) {
-	for _, late := range overdue {
-		if d.role.overdue[late.Model] < late.Version {
-			d.role.overdue[late.Model] = late.Version
-			d.logRolloutOverdue(late)
-		}
-	}
-}
-
 // newScheduler makes a scheduler that goes on where the last leader left off.
 func (d *Directory) newScheduler(ctx context.Context, now int64) bool {
 	response := d.control.ExecuteOnce(ctx, &fb.OperationRequestT{Type: byte(quorum.OpGet), Key: RolloutKey})
--- a/internal/app/proxy/export_test.go
+++ b/internal/app/proxy/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -79,6 +80,21 @@
 	u.server.view.Store(&v)
 }
 
+// SetVersionBound replaces the bound on new weights.
+func (u *Unattached) SetVersionBound(within time.Duration) {
+	u.server.settings.Bounds.VersionApplyUS = within.Microseconds()
+}
+
+// Announce replaces what is known of a model's versions: how long ago each was announced.
+func (u *Unattached) Announce(model string, ages map[uint64]time.Duration) {
+	v := *u.server.view.Load()
+	v.announced = &route.Announcements{}
+	for version, age := range ages {
+		v.announced.Observe(model, version, clock.Now()-age.Microseconds())
+	}
+	u.server.view.Store(&v)
+}
+
 func quietDaemon() *daemon.Daemon {
 	d := daemon.New("proxy", "unattached", "127.0.0.1:0", 0)
 	d.Log = logr.Discard()
--- a/rollout/pacing.go
+++ b/rollout/pacing.go
@@ -47,32 +47,6 @@
 	return changed
 }
 
-// Overdue is a model whose bound has passed while engines still run something older.
-type Overdue struct {
-	Model   string
-	Version uint64 // that they are to run
-	Engines int    // that lag behind
-}
-
-// Overdue lists the models that are overdue at the time now, by name.
-func (s *Scheduler) Overdue(now int64, engines []Engine) (overdue []Overdue) {
-	live := map[string]Engine{}
-	for _, engine := range engines {
-		live[engine.ID] = engine
-	}
-	behind := map[string]int{}
-	for _, late := range s.laggards(live) {
-		behind[late.model]++
-	}
-	for _, model := range slices.Sorted(maps.Keys(behind)) {
-		target := s.targets[model]
-		if now-target.announcedAt > s.config.ApplyWithinUS {
-			overdue = append(overdue, Overdue{model, target.version, behind[model]})
-		}
-	}
-	return overdue
-}
-
 // laggards lists the engines that run something older: those of the oldest version first,
 // since they are late by the oldest announcement, and among those of each zone in turn.
 func (s *Scheduler) laggards(live map[string]Engine) (out []laggard) {
