Queued requests are withdrawn before the bound on newer weights; repeats name the newest

Cause: a promise with a time bound was checked when work was handed over, and not for as long as the work waits at the receiver. The proxy looked at the bound on new weights as it sent a request, 0.8 s before the bound; the engine's queue holds requests for seconds. The rollout leader repeated an unanswered update request as it was first sent, also when a newer version had been announced. Change: an attempt has a limit for its beginning, worked out from the announcements that are known while it waits. It is looked at as the request is written, after a connection was made, and until something of the answer's body has come; 0.4 s before the bound the attempt is withdrawn by a reset. It may have run: what may be repeated goes to another engine within the retry budget, anything else gets 502 weights-outdated.

--- a/internal/app/proxy/doc.go
+++ b/internal/app/proxy/doc.go
@@ -10,7 +10,7 @@
 //	engineattempt.go  one attempt at one engine
 //	enginerequest.go  the request as the engine gets it
 //	engineanswer.go   reading the head of the engine's answer, and judging it
-//	versionage.go     how old an engine's weights are when a request begins there
+//	versionwait.go    until when an attempt may begin on an engine's weights
 //	relay.go          passing an answer on; stream.go: a stream of events
 //	connpool.go       connections to engines, engineconn.go: one of them
 //	framing.go        where a message ends (RFC 9112); splitter.go: on a connection
--- a/internal/app/proxy/engineanswer.go
+++ b/internal/app/proxy/engineanswer.go
@@ -24,6 +24,9 @@
 func (a *engineAttempt) readHead() (*http.Response, ResponseInfo, outcome) {
 	for stray := 0; ; {
 		answer, err := a.conn.readHead(a.forwarded.request)
+		if err != nil && a.mayWaitOn(err) {
+			continue
+		}
 		if err != nil {
 			a.recordIdleLoss(err)
 			return nil, ResponseInfo{}, a.interrupted(reasonEngineLost)
--- a/internal/app/proxy/engineattempt.go
+++ b/internal/app/proxy/engineattempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"violetthread/attempt"
 	"violetthread/internal/clock"
@@ -19,6 +18,7 @@
 
 	unreached bool // no connection came about, and the caller is not the reason
 	began     bool // the engine has answered with content
+	withdrawn bool // it had not begun shortly before the bound on newer weights
 	resumes   bool // it goes on with a stream that another engine began
 }
 
@@ -87,10 +87,10 @@
 	case s.view.Load().age(now) > s.maxConfigAgeUS():
 		f.forward.StopReason = reasonConfigNotFresh
 		return nothingSent, nil
-	case now >= f.deadline:
+	case now >= f.deadline || now >= a.beginLimit():
 		return nothingSent, nil
 	}
-	_ = a.conn.SetDeadline(time.Now().Add(clock.Duration(f.deadline + lateAnswerUS - now)))
+	a.setLimit(now, a.waitLimit(now))
 	s.counts.sends.Add(1)
 	_, writeErr := a.conn.Write(a.encodeRequest(now))
 	answer, info, end := a.readHead()
@@ -129,6 +129,8 @@
 	switch {
 	case a.forwarded.request.Context().Err() != nil:
 		cause = reasonCallerGone
+	case a.withdrawn:
+		cause = reasonWeightsOutdated
 	case clock.Now() >= a.forwarded.deadline:
 		cause = reasonDeadlinePassed
 	}
--- a/internal/app/proxy/forwarded.go
+++ b/internal/app/proxy/forwarded.go
@@ -35,10 +35,6 @@
 	// dispatchMarginUS is the least time that must be left for another attempt.
 	dispatchMarginUS = 5_000
 
-	// versionSlackUS is how long before the bound on new weights engines with older ones get
-	// nothing new.
-	versionSlackUS = 800_000
-
 	ejectFullUS        = 250_000 // an engine that rejected a request
 	ejectInterruptedUS = 400_000 // an engine that broke off; doubles with each failure
 	ejectMisdirectedUS = 300_000 // an address that is another engine's now, or has other weights; doubles
@@ -174,11 +170,6 @@
 	return choice, nil
 }
 
-// minVersion is the oldest version of a model that an attempt may begin on at the time now.
-func (s *server) minVersion(now int64, model string) uint64 {
-	return s.view.Load().minVersion(now, model, s.settings.Bounds.VersionApplyUS-versionSlackUS)
-}
-
 // release takes an attempt that has ended off its engine's load, and ejects an engine that
 // failed or rejected it.
 func (f *forwardedRequest) release(a *engineAttempt, end outcome) {
@@ -198,6 +189,8 @@
 		f.placement.Misdirected = true
 	case a.unreached:
 		s.picker.Eject(now, engine, ejectInterruptedUS, true)
+	case end.state == attempt.Interrupted && end.cause == reasonWeightsOutdated:
+		s.counts.withdrawn.Add(1) // the engine is not to blame
 	case end.state == attempt.Interrupted && end.cause != reasonCallerGone && end.cause != reasonDeadlinePassed:
 		s.counts.interrupted.Add(1)
 		s.picker.Eject(now, engine, ejectInterruptedUS, true)
--- a/internal/app/proxy/metrics.go
+++ b/internal/app/proxy/metrics.go
@@ -15,6 +15,7 @@
 	arrived, done, rejected, lost, aborted      atomic.Int64 // requests of callers
 	sends, retries, notRun, interrupted         atomic.Int64 // attempts
 	resumed                                     atomic.Int64 // streams
+	withdrawn                                   atomic.Int64 // attempts that had not begun before the bound on newer weights
 	outdated                                    atomic.Int64 // answers that began on weights past their bound
 	prefillTokens, transferTokens, cachedTokens atomic.Int64
 }
@@ -35,6 +36,7 @@
 	counter("sends_skipped", "turned away by engines", &c.notRun)
 	counter("sends_broken", "lost after they were sent", &c.interrupted)
 	counter("streams_resumed", "streams taken up at another engine", &c.resumed)
+	counter("sends_withdrawn", "taken back, since the engine had not begun before the bound on newer weights", &c.withdrawn)
 	counter("answers_outdated", "answers that began on weights after the bound on newer ones", &c.outdated)
 	counter("tokens_read", "prompt tokens that engines had to read, as estimated", &c.prefillTokens)
 	counter("tokens_moved", "prompt tokens that engines were told to take", &c.transferTokens)
--- a/internal/app/proxy/reject.go
+++ b/internal/app/proxy/reject.go
@@ -22,6 +22,7 @@
 	reasonEngineFailed    = "engine-failed"
 	reasonEngineMalformed = "engine-malformed"
 	reasonDeadlinePassed  = "due-passed"
+	reasonWeightsOutdated = "weights-outdated"
 	reasonCallerGone      = "caller-gone"
 )
 
@@ -42,6 +43,7 @@
 	reasonEngineFailed:        "the request may have run; look before sending it again",
 	reasonEngineMalformed:     "the request may have run; look before sending it again",
 	reasonDeadlinePassed:      "the request may have run; allow more time",
+	reasonWeightsOutdated:     "the request may have run; look before sending it again; its engine had not begun when its weights went out of date",
 	reasonCallerGone:          "nobody is left to be told",
 }
 
--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -41,6 +41,7 @@
 // relayPlain passes an answer on that is no stream.
 func (a *engineAttempt) relayPlain(answer *http.Response) outcome {
 	f := a.forwarded
+	a.setLimit(clock.Now(), a.answerLimit())
 	var buffered bytes.Buffer
 	if _, err := io.Copy(&buffered, io.LimitReader(answer.Body, bufferedAnswerBytes)); err != nil {
 		return a.interrupted(reasonEngineLost)
--- a/internal/app/proxy/stream.go
+++ b/internal/app/proxy/stream.go
@@ -39,6 +39,9 @@
 // relayStream passes events on as they arrive. The head goes out with the first complete
 // event, so that an answer that breaks before it can still come from elsewhere.
 func (a *engineAttempt) relayStream(answer *http.Response) outcome {
+	if answer.ContentLength != 0 && !a.awaitBegin() {
+		return a.interrupted(reasonEngineLost)
+	}
 	a.resumes = a.forwarded.forward.HeadSent
 	br := bufio.NewReaderSize(answer.Body, 4096)
 	for {
--- a/rollout/scheduler.go
+++ b/rollout/scheduler.go
@@ -172,7 +172,9 @@
 			changed = true
 			requests = append(requests, UpdateRequest{id, live[id].Addr, update.Model, update.Version})
 		case update.Phase == PhaseRequested && now-update.RequestedAt >= s.config.RetryAfterUS:
-			update.RequestedAt = now
+			// Nobody knows whether the last request arrived. This one names what is the newest now.
+			changed = changed || newest > update.Version
+			update.Version, update.RequestedAt = max(newest, update.Version), now
 			s.State.Updates[id] = update
 			requests = append(requests, UpdateRequest{id, live[id].Addr, update.Model, update.Version})
 		}
