Loads of a restarted proxy count at once (wire: ProxyLoad names the incarnation)

Change: loads are kept by incarnation; a new one replaces the former ones of its name that were heard of before it. ProxyLoad gets a field at its end. A proxy of an earlier version reports incarnation 0 beside the one of its questions; its loads are told by turns until all are replaced. Measured: TestLoadsOfARestartedProxy fails on the table by name (the present reports are not taken) and passes now.

--- a/internal/app/directory/cache_events.go
+++ b/internal/app/directory/cache_events.go
@@ -182,17 +182,17 @@
 
 // unsentEvents is the rest of a snapshot that a proxy gets in pages. Called under the lock.
 func (d *Directory) unsentEvents(request *fb.MapRequestT) []cacheindex.Update {
-	if request.Node == nil || d.proxies[request.Node.Name] == nil {
+	if request.Node == nil || d.proxies[idOf(request.Node)] == nil {
 		return nil
 	}
-	return d.proxies[request.Node.Name].unsent
+	return d.proxies[idOf(request.Node)].unsent
 }
 
 // nextEvents is the next page of cache events for a proxy. Called under the lock.
 func (d *Directory) nextEvents(request *fb.MapRequestT) cacheindex.UpdateBatch {
 	var proxy *proxyState
 	if request.Node != nil {
-		proxy = d.proxies[request.Node.Name]
+		proxy = d.proxies[idOf(request.Node)]
 	}
 	if proxy != nil && len(proxy.unsent) > 0 && request.UpdatesIncarnation == d.incarnation {
 		page := proxy.unsent[:min(maxEventsPerResponse, len(proxy.unsent))]
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -73,7 +73,7 @@
 	readers      map[string]*eventReader            // by the engine's or store's id
 	cachedBlocks map[uint64]map[cacheindex.Key]bool // what each engine and store keeps
 	events       *cacheindex.UpdateLog              // changes of cachedBlocks
-	proxies      map[string]*proxyState
+	proxies      map[proxyID]*proxyState
 	loads        *loadTable         // what they have under way
 	proxiesHere  int                // that ask this node, as of the last broadcast
 	broadcast    loadBroadcast      // of loads
@@ -118,7 +118,7 @@
 		mapRevision:  1,
 		readers:      map[string]*eventReader{},
 		cachedBlocks: map[uint64]map[cacheindex.Key]bool{},
-		proxies:      map[string]*proxyState{},
+		proxies:      map[proxyID]*proxyState{},
 		loads:        newLoadTable(),
 	}
 	d.events = cacheindex.NewUpdateLog(incarnation, maxLoggedEvents, d.cacheSnapshot)
--- a/internal/app/directory/loads.go
+++ b/internal/app/directory/loads.go
@@ -35,17 +35,36 @@
 	d.control.RecordHeartbeat(now, request.Node)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.heardOf(now, request.Node.Name)
-	d.loads.set(request.Node.Name, request.LoadsSequence, request.Loads, false)
+	id := idOf(request.Node)
+	d.heardOf(now, id)
+	d.loads.set(id, request.LoadsSequence, request.Loads, false)
 }
 
+// idOf is the incarnation of a proxy that asks.
+func idOf(node *fb.NodeT) proxyID { return proxyID{node.Name, node.Incarnation} }
+
 // heardOf notes that a proxy speaks to this node. Called under the lock.
-func (d *Directory) heardOf(now int64, name string) {
+func (d *Directory) heardOf(now int64, id proxyID) {
 	proxy := &proxyState{heardAt: now, direct: true}
-	if known := d.proxies[name]; known != nil && known.direct {
+	known := d.proxies[id]
+	if known != nil && known.direct {
 		proxy.unsent = known.unsent
 	}
-	d.proxies[name] = proxy
+	if known == nil {
+		d.forgetFormer(now, id)
+	}
+	d.proxies[id] = proxy
+}
+
+// forgetFormer drops the incarnations of a proxy that were heard of before the time at which
+// this one was: it has started again. Called under the lock.
+func (d *Directory) forgetFormer(heardAt int64, id proxyID) {
+	for other, proxy := range d.proxies {
+		if other.name == id.name && other != id && proxy.heardAt <= heardAt {
+			delete(d.proxies, other)
+			d.loads.forget(other)
+		}
+	}
 }
 
 // broadcastLoads tells the other core machines what the proxies that ask here have under
@@ -71,19 +90,20 @@
 	loads, changedOnly := d.loads.ofProxies(last.revision)
 	d.proxiesHere = 0
 	update := &fb.LoadUpdateT{}
-	for name, proxy := range d.proxies {
+	for id, proxy := range d.proxies {
 		if !proxy.direct {
 			continue
 		}
 		d.proxiesHere++
 		reads := d.unsentReads
 		d.unsentReads = nil // they go with the first proxy, whoever told them
-		if !changedOnly || len(loads[name])+len(reads) > 0 {
+		if !changedOnly || len(loads[id])+len(reads) > 0 {
 			update.Proxies = append(update.Proxies, &fb.ProxyLoadT{
-				Name:        name,
+				Name:        id.name,
+				Incarnation: id.incarnation,
 				Age:         now - proxy.heardAt,
-				Loads:       loads[name],
-				Sequence:    d.loads.sequences[name],
+				Loads:       loads[id],
+				Sequence:    d.loads.sequences[id],
 				ChangedOnly: changedOnly,
 				Updates:     reads,
 			})
@@ -100,10 +120,10 @@
 
 // forgetSilentProxies drops proxies that were not heard of lately. Called under the lock.
 func (d *Directory) forgetSilentProxies(now int64) {
-	for name, proxy := range d.proxies {
+	for id, proxy := range d.proxies {
 		if now-proxy.heardAt > loadsLifetime {
-			delete(d.proxies, name)
-			d.loads.forget(name)
+			delete(d.proxies, id)
+			d.loads.forget(id)
 		}
 	}
 }
@@ -115,15 +135,19 @@
 	defer d.mu.Unlock()
 	for _, heard := range update.Proxies {
 		d.noteReads(heard.Updates, update.Direct)
-		if heard.Age < 0 || !d.loads.set(heard.Name, heard.Sequence, heard.Loads, heard.ChangedOnly) {
+		id := proxyID{heard.Name, heard.Incarnation}
+		if heard.Age < 0 || !d.loads.set(id, heard.Sequence, heard.Loads, heard.ChangedOnly) {
 			continue
 		}
-		known := d.proxies[heard.Name]
+		known := d.proxies[id]
+		if known == nil {
+			d.forgetFormer(now-heard.Age, id)
+		}
 		switch {
 		case update.Direct:
-			d.heardOf(now, heard.Name)
+			d.heardOf(now, id)
 		case known == nil || known.heardAt < now-heard.Age:
-			d.proxies[heard.Name] = &proxyState{heardAt: now - heard.Age}
+			d.proxies[id] = &proxyState{heardAt: now - heard.Age}
 		}
 	}
 }
--- a/internal/app/directory/loads_test.go
+++ b/internal/app/directory/loads_test.go
@@ -105,3 +105,36 @@
 		t.Errorf("told twice: %+v", update)
 	}
 }
+
+// TestLoadsOfARestartedProxy: a proxy that starts again while its former incarnation is still
+// remembered counts its reports from 1. They are taken at once, whichever way they come, and the
+// former loads are gone; a late word of the former incarnation changes nothing.
+func TestLoadsOfARestartedProxy(t *testing.T) {
+	const former, present = 11, 12
+	told := func(d *Directory) uint32 {
+		sum := uint32(0)
+		for _, engineLoad := range loadsOf(d, "other", 0).Loads {
+			sum += engineLoad.Active
+		}
+		return sum
+	}
+	report := func(incarnation, sequence uint64, active uint32, age int64, direct bool) *fb.LoadUpdateT {
+		loads := []*fb.EngineLoadT{{Node: 7, Active: active}}
+		return &fb.LoadUpdateT{Direct: direct, Proxies: []*fb.ProxyLoadT{{Name: "p1", Incarnation: incarnation, Sequence: sequence, Loads: loads, Age: age}}}
+	}
+	for _, direct := range []bool{true, false} {
+		d, _, _ := newTestDirectory(t)
+		now := clock.Now()
+		d.mergeLoads(now, report(former, 500, 40, 0, direct))
+		d.mergeLoads(now+1000, report(present, 1, 3, 0, direct))
+		if got := told(d); got != 3 {
+			t.Errorf("direct %v: %d requests are told of a proxy that has 3", direct, got)
+		}
+		d.mergeLoads(now+2000, report(former, 501, 40, 3000, false))
+		d.mergeLoads(now+3000, report(present, 2, 4, 0, direct))
+		d.forgetSilentProxies(now + loadsLifetime)
+		if got := told(d); got != 4 {
+			t.Errorf("direct %v: %d requests are told of a proxy that has 4", direct, got)
+		}
+	}
+}
--- a/internal/app/directory/loadtable.go
+++ b/internal/app/directory/loadtable.go
@@ -27,9 +27,16 @@
 	return load{l.active - other.active, l.prefillTokens - other.prefillTokens, l.memoryTokens - other.memoryTokens, l.failures - other.failures}
 }
 
+// proxyID is one incarnation of a proxy. A proxy that starts again counts its reports from the
+// beginning, and has nothing under way of what its former incarnation had.
+type proxyID struct {
+	name        string
+	incarnation uint64
+}
+
 // loadChange is a change of what a proxy has under way at an engine.
 type loadChange struct {
-	proxy  string
+	proxy  proxyID
 	engine uint64
 }
 
@@ -40,20 +47,20 @@
 // loadTable sums what the proxies have under way at each engine, and tells what changed since
 // a revision. Only what is not zero is kept. It is not safe for concurrent use.
 type loadTable struct {
-	revision  uint64                     // rises by one with each change, from 1; 0 stands for knowing nothing
-	byProxy   map[string]map[uint64]load // by the proxy's name and the engine
-	sequences map[string]uint64          // of what each proxy told last
-	sums      map[uint64]load            // by engine
-	changes   []loadChange               // the last ones; the very last led to revision
+	revision  uint64                      // rises by one with each change, from 1; 0 stands for knowing nothing
+	byProxy   map[proxyID]map[uint64]load // by the proxy and the engine
+	sequences map[proxyID]uint64          // of what each proxy told last
+	sums      map[uint64]load             // by engine
+	changes   []loadChange                // the last ones; the very last led to revision
 }
 
 func newLoadTable() *loadTable {
-	return &loadTable{revision: 1, byProxy: map[string]map[uint64]load{}, sequences: map[string]uint64{}, sums: map[uint64]load{}}
+	return &loadTable{revision: 1, byProxy: map[proxyID]map[uint64]load{}, sequences: map[proxyID]uint64{}, sums: map[uint64]load{}}
 }
 
 // set takes in what a proxy has under way; false if something newer is known. With changedOnly,
 // engines that are not named stay as they are.
-func (t *loadTable) set(proxy string, sequence uint64, packed []*fb.EngineLoadT, changedOnly bool) bool {
+func (t *loadTable) set(proxy proxyID, sequence uint64, packed []*fb.EngineLoadT, changedOnly bool) bool {
 	if sequence < t.sequences[proxy] {
 		return false
 	}
@@ -78,7 +85,7 @@
 }
 
 // change puts what a proxy has at an engine, and corrects the sum.
-func (t *loadTable) change(proxy string, engine uint64, now load) {
+func (t *loadTable) change(proxy proxyID, engine uint64, now load) {
 	known := t.byProxy[proxy][engine]
 	if known == now {
 		return
@@ -102,7 +109,7 @@
 }
 
 // forget drops a proxy that is not heard of any more.
-func (t *loadTable) forget(proxy string) {
+func (t *loadTable) forget(proxy proxyID) {
 	for engine := range t.byProxy[proxy] {
 		t.change(proxy, engine, load{})
 	}
@@ -120,7 +127,7 @@
 
 // others lists what all proxies but one have under way: at the engines where that changed after
 // a revision, or everywhere if that is not remembered.
-func (t *loadTable) others(except string, since uint64) (out []*fb.EngineLoadT, changedOnly bool) {
+func (t *loadTable) others(except proxyID, since uint64) (out []*fb.EngineLoadT, changedOnly bool) {
 	own := t.byProxy[except]
 	changes, remembered := t.changesSince(since)
 	if !remembered {
@@ -143,8 +150,8 @@
 
 // ofProxies lists what each proxy has under way: at the engines where that changed after a
 // revision, or everywhere if that is not remembered.
-func (t *loadTable) ofProxies(since uint64) (out map[string][]*fb.EngineLoadT, changedOnly bool) {
-	out = map[string][]*fb.EngineLoadT{}
+func (t *loadTable) ofProxies(since uint64) (out map[proxyID][]*fb.EngineLoadT, changedOnly bool) {
+	out = map[proxyID][]*fb.EngineLoadT{}
 	changes, remembered := t.changesSince(since)
 	if !remembered {
 		for proxy, loads := range t.byProxy {
--- a/internal/app/directory/loadtable_test.go
+++ b/internal/app/directory/loadtable_test.go
@@ -10,7 +10,7 @@
 
 // followedLoads is a proxy that applies what the table tells it.
 type followedLoads struct {
-	name  string
+	name  proxyID
 	since uint64
 	loads map[uint64]load
 }
@@ -31,11 +31,11 @@
 func TestLoadTableFollowed(t *testing.T) {
 	for seed := int64(1); seed <= 60; seed++ {
 		rnd := rand.New(rand.NewSource(seed))
-		table, want := newLoadTable(), map[string]map[uint64]load{}
-		follower := &followedLoads{name: "p0"}
-		sequences := map[string]uint64{}
+		table, want := newLoadTable(), map[proxyID]map[uint64]load{}
+		follower := &followedLoads{name: proxyID{name: "p0"}}
+		sequences := map[proxyID]uint64{}
 		for range 300 {
-			proxy := fmt.Sprint("p", rnd.Intn(4))
+			proxy := proxyID{name: fmt.Sprint("p", rnd.Intn(4))}
 			switch rnd.Intn(8) {
 			case 0:
 				table.forget(proxy)
@@ -82,15 +82,15 @@
 func TestLoadTableOlderReport(t *testing.T) {
 	table := newLoadTable()
 	report := func(sequence uint64, active uint32) bool {
-		return table.set("p", sequence, []*fb.EngineLoadT{{Node: 1, Active: active}}, false)
+		return table.set(proxyID{name: "p"}, sequence, []*fb.EngineLoadT{{Node: 1, Active: active}}, false)
 	}
 	if !report(5, 1) || report(4, 9) || !report(5, 2) {
 		t.Error("an older report was taken, or one of the same age was not")
 	}
-	if got, _ := table.others("", 0); len(got) != 1 || got[0].Active != 2 {
+	if got, _ := table.others(proxyID{}, 0); len(got) != 1 || got[0].Active != 2 {
 		t.Errorf("%+v", got)
 	}
-	table.forget("p")
+	table.forget(proxyID{name: "p"})
 	if !report(1, 3) {
 		t.Error("a proxy that started anew is not believed")
 	}
@@ -100,12 +100,12 @@
 func TestLoadTableBounded(t *testing.T) {
 	table := newLoadTable()
 	for engine := uint64(1); engine <= 5*maxLoadChanges; engine++ {
-		table.set("p", engine, []*fb.EngineLoadT{{Node: engine, Active: 1}}, false)
+		table.set(proxyID{name: "p"}, engine, []*fb.EngineLoadT{{Node: engine, Active: 1}}, false)
 	}
-	if len(table.sums) != 1 || len(table.byProxy["p"]) != 1 || len(table.changes) > 2*maxLoadChanges {
-		t.Errorf("%d sums, %d loads and %d changes are left", len(table.sums), len(table.byProxy["p"]), len(table.changes))
+	if len(table.sums) != 1 || len(table.byProxy[proxyID{name: "p"}]) != 1 || len(table.changes) > 2*maxLoadChanges {
+		t.Errorf("%d sums, %d loads and %d changes are left", len(table.sums), len(table.byProxy[proxyID{name: "p"}]), len(table.changes))
 	}
-	if _, changedOnly := table.others("", 1); changedOnly {
+	if _, changedOnly := table.others(proxyID{}, 1); changedOnly {
 		t.Error("the first changes are still told")
 	}
 }
--- a/internal/app/directory/map_response.go
+++ b/internal/app/directory/map_response.go
@@ -125,7 +125,7 @@
 	if request.Incarnation != d.incarnation {
 		since = 0
 	}
-	response.Loads, response.LoadsChangedOnly = d.loads.others(request.Node.Name, since)
+	response.Loads, response.LoadsChangedOnly = d.loads.others(idOf(request.Node), since)
 	response.LoadsRevision = d.loads.revision
 }
 
--- a/internal/app/proxy/fleet.go
+++ b/internal/app/proxy/fleet.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		loads, sequence := s.loads()
-		report := &fb.ProxyLoadT{Name: s.settings.Name, Loads: loads, Sequence: sequence, Updates: s.takeUnreportedReads()}
+		report := &fb.ProxyLoadT{Name: s.settings.Name, Incarnation: s.incarnation, Loads: loads, Sequence: sequence, Updates: s.takeUnreportedReads()}
 		s.controlNodes.Get(*followed).Send(&fb.FrameT{LoadUpdate: &fb.LoadUpdateT{Proxies: []*fb.ProxyLoadT{report}, Direct: true}})
 	}
 }
--- a/schema/fb/violetthread_generated.go
+++ b/schema/fb/violetthread_generated.go
@@ -6475,6 +6475,7 @@
 	Sequence    uint64          `json:"sequence"`
 	ChangedOnly bool            `json:"changed_only"`
 	Updates     []*CacheUpdateT `json:"updates"`
+	Incarnation uint64          `json:"incarnation"`
 }
 
 func (t *ProxyLoadT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -6515,6 +6516,7 @@
 	ProxyLoadAddSequence(builder, t.Sequence)
 	ProxyLoadAddChangedOnly(builder, t.ChangedOnly)
 	ProxyLoadAddUpdates(builder, updatesOffset)
+	ProxyLoadAddIncarnation(builder, t.Incarnation)
 	return ProxyLoadEnd(builder)
 }
 
@@ -6537,6 +6539,7 @@
 		rcv.Updates(&x, j)
 		t.Updates[j] = x.UnPack()
 	}
+	t.Incarnation = rcv.Incarnation()
 }
 
 func (rcv *ProxyLoad) UnPack() *ProxyLoadT {
@@ -6659,8 +6662,20 @@
 	return 0
 }
 
+func (rcv *ProxyLoad) Incarnation() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *ProxyLoad) MutateIncarnation(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(16, n)
+}
+
 func ProxyLoadStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(7)
 }
 func ProxyLoadAddName(builder *flatbuffers.Builder, name flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(name), 0)
@@ -6686,6 +6701,9 @@
 func ProxyLoadStartUpdatesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func ProxyLoadAddIncarnation(builder *flatbuffers.Builder, incarnation uint64) {
+	builder.PrependUint64Slot(6, incarnation, 0)
+}
 func ProxyLoadEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
