Bound on weights over all terms (fleet-apply-ms); golden frames of two messages

Cause: the operator's bound on new weights over all stretches without trouble together was not read at all. Ages count anew whenever the rollout role changes hands, so nothing bounded the sum. Change: announcements keep since when a version was first known, beside the time that counts in the term (wire: AnnouncedVersion.total_age at the end of its table). route.VersionLimits holds both bounds. Time without a leader counts as well, which errs on the safe side.

--- a/internal/app/directory/loads_test.go
+++ b/internal/app/directory/loads_test.go
@@ -111,7 +111,7 @@
 // former loads are gone; a late word of the former incarnation changes nothing.
 func TestLoadsOfARestartedProxy(t *testing.T) {
 	const former, present = 11, 12
-	told := func(d *Directory) uint32 {
+	requestsOf := func(d *Directory) uint32 {
 		sum := uint32(0)
 		for _, engineLoad := range loadsOf(d, "other", 0).Loads {
 			sum += engineLoad.Active
@@ -127,14 +127,14 @@
 		now := clock.Now()
 		d.mergeLoads(now, report(former, 500, 40, 0, direct))
 		d.mergeLoads(now+1000, report(present, 1, 3, 0, direct))
-		if got := told(d); got != 3 {
-			t.Errorf("direct %v: %d requests are told of a proxy that has 3", direct, got)
+		if got := requestsOf(d); got != 3 {
+			t.Errorf("direct %v: %d requests are reported of a proxy that has 3", direct, got)
 		}
 		d.mergeLoads(now+2000, report(former, 501, 40, 3000, false))
 		d.mergeLoads(now+3000, report(present, 2, 4, 0, direct))
 		d.forgetSilentProxies(now + loadsLifetime)
-		if got := told(d); got != 4 {
-			t.Errorf("direct %v: %d requests are told of a proxy that has 4", direct, got)
+		if got := requestsOf(d); got != 4 {
+			t.Errorf("direct %v: %d requests are reported of a proxy that has 4", direct, got)
 		}
 	}
 }
--- a/internal/app/directory/map_response.go
+++ b/internal/app/directory/map_response.go
@@ -188,8 +188,8 @@
 // announcedVersions lists how long ago each version of weights was announced. Called under
 // the lock.
 func (d *Directory) announcedVersions(now int64) (out []*fb.AnnouncedVersionT) {
-	d.announcements.Each(func(model string, version uint64, at int64) {
-		out = append(out, &fb.AnnouncedVersionT{Model: model, Version: version, Age: now - at})
+	d.announcements.Each(func(model string, version uint64, at, first int64) {
+		out = append(out, &fb.AnnouncedVersionT{Model: model, Version: version, Age: now - at, TotalAge: now - first})
 	})
 	return out
 }
--- a/internal/app/directory/overdue.go
+++ b/internal/app/directory/overdue.go
@@ -31,8 +31,8 @@
 		}
 		for model, reported := range engine.Weights {
 			version := d.role.scheduler.State.Version(id, model, reported)
-			supersededAt, superseded := d.announcements.SupersededAt(model, version)
-			if superseded && now-supersededAt > d.settings.Bounds.VersionApplyUS {
+			until, superseded := d.announcements.UsableUntil(model, version, d.settings.Bounds.VersionLimits())
+			if superseded && now > until {
 				late[model]++
 			}
 		}
--- a/internal/app/proxy/versionwait.go
+++ b/internal/app/proxy/versionwait.go
@@ -27,17 +27,18 @@
 
 // minVersion is the oldest version of a model that an attempt may be sent to at the time now.
 func (s *server) minVersion(now int64, model string) uint64 {
-	return s.view.Load().minVersion(now, model, s.settings.Bounds.VersionApplyUS-dispatchSlackUS)
+	return s.view.Load().minVersion(now, model, s.settings.Bounds.VersionLimits().Earlier(dispatchSlackUS))
 }
 
 // beginLimit is the time at which an attempt on a version of a model is withdrawn unless it has
 // begun.
 func (s *server) beginLimit(model string, version uint64) int64 {
-	supersededAt, superseded := s.view.Load().supersededAt(model, version)
+	limits := s.settings.Bounds.VersionLimits().Earlier(withdrawSlackUS)
+	until, superseded := s.view.Load().usableUntil(model, version, limits)
 	if !superseded {
 		return noBeginLimit
 	}
-	return supersededAt + s.settings.Bounds.VersionApplyUS - withdrawSlackUS
+	return until
 }
 
 // beginLimit is the attempt's own. Without a model it has none.
@@ -54,7 +55,7 @@
 // waitLimit is until when the attempt waits before it looks again whether it may go on waiting.
 // A version that is announced from now on can end the wait no sooner than its own bound.
 func (a *engineAttempt) waitLimit(now int64) int64 {
-	newlyAnnounced := now + a.forwarded.server.settings.Bounds.VersionApplyUS - withdrawSlackUS
+	newlyAnnounced := now + a.forwarded.server.settings.Bounds.VersionLimits().Shortest() - withdrawSlackUS
 	return min(a.answerLimit(), a.beginLimit(), newlyAnnounced)
 }
 
@@ -104,11 +105,11 @@
 // engine began.
 func (a *engineAttempt) checkVersionAge(now int64) {
 	s, f := a.forwarded.server, a.forwarded
-	supersededAt, superseded := s.view.Load().supersededAt(f.info.Model, a.choice.Version)
-	if !superseded || now-supersededAt <= s.settings.Bounds.VersionApplyUS {
+	until, superseded := s.view.Load().usableUntil(f.info.Model, a.choice.Version, s.settings.Bounds.VersionLimits())
+	if !superseded || now <= until {
 		return
 	}
 	s.counts.outdated.Add(1)
 	s.daemon.Log.Info("answer_outdated", "engine", a.choice.Engine.ID, "model", f.info.Model, "version", a.choice.Version,
-		"age_us", now-supersededAt, "sent_age_us", a.choice.SentAt()-supersededAt)
+		"late_us", now-until, "waited_us", now-a.choice.SentAt())
 }
--- a/internal/app/proxy/view.go
+++ b/internal/app/proxy/view.go
@@ -48,22 +48,21 @@
 	return now - v.configAt
 }
 
-// minVersion is the oldest version of a model that an attempt may still begin on: one that was
-// announced longer than within microseconds ago has to be in force. 0 is any.
-func (v *view) minVersion(now int64, model string, within int64) uint64 {
+// minVersion is the oldest version of a model that an attempt may still begin on. 0 is any.
+func (v *view) minVersion(now int64, model string, limits route.VersionLimits) uint64 {
 	if v.announced == nil {
 		return 0
 	}
-	return v.announced.OldestAllowed(now, model, within)
+	return v.announced.OldestAllowed(now, model, limits)
 }
 
-// supersededAt is since when a version newer than the given one is known to be announced, and
-// whether there is one.
-func (v *view) supersededAt(model string, version uint64) (at int64, ok bool) {
+// usableUntil is the time from which on nothing may begin on a version of a model, and whether
+// there is one.
+func (v *view) usableUntil(model string, version uint64, limits route.VersionLimits) (until int64, superseded bool) {
 	if v.announced == nil {
 		return 0, false
 	}
-	return v.announced.SupersededAt(model, version)
+	return v.announced.UsableUntil(model, version, limits)
 }
 
 // merge takes in the fleet's state as a node knows it, which left the node no sooner than at.
--- a/internal/codec/golden_frames_test.go
+++ b/internal/codec/golden_frames_test.go
@@ -21,6 +21,10 @@
 // the ends of the messages about maps and loads.
 const olderGoldenFrames = "testdata/golden_frames_f8592ad.bin"
 
+// formerGoldenFrames holds the same as commit 87570e5 encoded them, before announced versions and
+// the loads of a proxy got a field each.
+const formerGoldenFrames = "testdata/golden_frames_87570e5.bin"
+
 // goldenFiller sets all fields of a message to values that follow from their place.
 type goldenFiller struct{ place uint64 }
 
@@ -130,6 +134,42 @@
 	}
 }
 
+// TestFormerGoldenFrames decodes what the version before sent, by the same rule.
+func TestFormerGoldenFrames(t *testing.T) {
+	stored, err := os.ReadFile(formerGoldenFrames)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader := bytes.NewReader(stored)
+	for i, want := range expectedGoldenFrames() {
+		got, err := codec.ReadFrame(reader)
+		if err != nil {
+			t.Fatalf("frame %d: %v", i, err)
+		}
+		switch {
+		case want.MapResponse != nil:
+			known := *want.MapResponse.Announced[0]
+			known.TotalAge = 0
+			response := got.MapResponse
+			if !reflect.DeepEqual(response.Engines, want.MapResponse.Engines) || len(response.Announced) != 2 || *response.Announced[0] != known || response.LoadsRevision == 0 {
+				t.Errorf("frame %d is decoded as %+v", i, response)
+			}
+		case want.LoadUpdate != nil:
+			known := *want.LoadUpdate.Proxies[0]
+			known.Incarnation = 0
+			update := got.LoadUpdate
+			if len(update.Proxies) != 2 || !update.Direct || !reflect.DeepEqual(*update.Proxies[0], known) {
+				t.Errorf("frame %d is decoded as %+v", i, update)
+			}
+		case !reflect.DeepEqual(got, want):
+			t.Errorf("frame %d is decoded as %+v, not %+v", i, got, want)
+		}
+	}
+	if reader.Len() > 0 {
+		t.Errorf("%d bytes are left", reader.Len())
+	}
+}
+
 // TestGoldenFramesCutShort reads each stored frame cut short at every offset.
 func TestGoldenFramesCutShort(t *testing.T) {
 	stored, err := os.ReadFile(goldenFrames)
--- a/internal/codec/golden_test.go
+++ b/internal/codec/golden_test.go
@@ -30,8 +30,8 @@
 	"eda3b7b85e0f76c1",
 	"5f86f606fedae779",
 	"67e6273b78db66ac",
-	"3693752ff35ea327",
-	"1def4176a482027e",
+	"e7abce8fa89102a5",
+	"5bba7837615ad370",
 }
 
 const goldenRecord = "69a405aa19015667"
--- a/internal/codec/rollout.go
+++ b/internal/codec/rollout.go
@@ -18,7 +18,7 @@
 	announcements := &route.Announcements{}
 	announcements.StartTerm(t.AnnouncedTerm, math.MinInt64)
 	for _, v := range t.Announced {
-		announcements.Observe(v.Model, v.Version, sentAt-v.Age)
+		announcements.ObserveInTerm(v.Model, v.Version, sentAt-v.Age, sentAt-max(v.Age, v.TotalAge))
 	}
 	return announcements
 }
--- a/route/announcements.go
+++ b/route/announcements.go
@@ -10,17 +10,24 @@
 // announce as many to proxies.
 const MaxAnnouncedVersions = 8
 
+// announcement is since when a version is known to be announced.
+type announcement struct {
+	at    int64 // as it counts in the present term
+	first int64 // whatever the term; at is never earlier
+}
+
 // Announcements tell since when versions of weights are known to be announced, in the time of
 // the node that keeps it (monotonic microseconds). An age that is too small would let requests
 // begin on outdated weights, so that within a term the earliest time that was observed stays.
 //
 // A term is one lease of the singleton role that leads the rollout of weights. While the role
-// changes hands the core has no leader, and the bound on weights counts anew from there.
+// changes hands the core has no leader, and the bound on weights counts anew from there. Since
+// when a version is known at all is kept beside that: the bound on all terms together.
 //
 // The zero value knows no versions.
 type Announcements struct {
 	term   uint64
-	models map[string]map[uint64]int64 // announcement time by model and version
+	models map[string]map[uint64]announcement // by model and version
 }
 
 // Term is the term that the times count in. A term is here the revision of the rollout role's
@@ -29,7 +36,7 @@
 
 // Clone is a copy that shares nothing.
 func (a *Announcements) Clone() *Announcements {
-	clone := &Announcements{term: a.term, models: map[string]map[uint64]int64{}}
+	clone := &Announcements{term: a.term, models: map[string]map[uint64]announcement{}}
 	for model, versions := range a.models {
 		clone.models[model] = maps.Clone(versions)
 	}
@@ -38,17 +45,25 @@
 
 // Observe takes in that a version was announced no later than at. The earliest time stays.
 func (a *Announcements) Observe(model string, version uint64, at int64) {
+	a.ObserveInTerm(model, version, at, at)
+}
+
+// ObserveInTerm takes in that a version counts from at in this term, and was announced no later
+// than first. The earliest times stay.
+func (a *Announcements) ObserveInTerm(model string, version uint64, at, first int64) {
 	versions := a.models[model]
 	if versions == nil {
-		versions = map[uint64]int64{}
+		versions = map[uint64]announcement{}
 		if a.models == nil {
-			a.models = map[string]map[uint64]int64{}
+			a.models = map[string]map[uint64]announcement{}
 		}
 		a.models[model] = versions
 	}
-	if known, ok := versions[version]; !ok || at < known {
-		versions[version] = at
+	first = min(first, at)
+	if known, ok := versions[version]; ok {
+		at, first = min(at, known.at), min(first, known.first)
 	}
+	versions[version] = announcement{at, first}
 	if len(versions) > MaxAnnouncedVersions {
 		delete(versions, slices.Min(slices.Collect(maps.Keys(versions))))
 	}
@@ -62,74 +77,100 @@
 	}
 	a.term = term
 	for _, versions := range a.models {
-		for version, at := range versions {
-			versions[version] = max(at, since)
+		for version, known := range versions {
+			versions[version] = announcement{max(known.at, since), known.first}
 		}
 	}
 }
 
 // Merge takes over what another node knows. Its times replace those here if its term is later.
-// From an earlier term only versions are taken that were not known.
+// From an earlier term only versions are taken that were not known, and since when others were
+// known at all.
 func (a *Announcements) Merge(other *Announcements) {
-	switch {
-	case other.term > a.term:
-		a.term = other.term
-		a.forget(other)
-	case other.term < a.term:
-		other = other.Clone()
-		other.forget(a)
+	earlier, later := other, a
+	if other.term > a.term {
+		earlier, later = a, other
 	}
-	for model, versions := range other.models {
-		for version, at := range versions {
-			a.Observe(model, version, at)
+	merged := later.Clone()
+	for model, versions := range earlier.models {
+		for version, known := range versions {
+			at := known.at
+			if current, ok := merged.models[model][version]; ok && earlier.term < later.term {
+				at = current.at
+			}
+			merged.ObserveInTerm(model, version, at, known.first)
 		}
 	}
+	*a = *merged
 }
 
-// forget drops the versions that other knows.
-func (a *Announcements) forget(other *Announcements) {
-	for model, versions := range other.models {
-		for version := range versions {
-			delete(a.models[model], version)
+// AnnouncedAt is since when a version is known to be announced, and whether it is.
+func (a *Announcements) AnnouncedAt(model string, version uint64) (at int64, ok bool) {
+	known, ok := a.models[model][version]
+	return known.at, ok
+}
+
+// Each hands on every version, models by name and versions rising: from when it counts in this
+// term, and since when it is known at all.
+func (a *Announcements) Each(on func(model string, version uint64, at, first int64)) {
+	for _, model := range slices.Sorted(maps.Keys(a.models)) {
+		versions := a.models[model]
+		for _, version := range slices.Sorted(maps.Keys(versions)) {
+			on(model, version, versions[version].at, versions[version].first)
 		}
 	}
 }
 
-// AnnouncedAt is since when a version is known to be announced, and whether it is.
-func (a *Announcements) AnnouncedAt(model string, version uint64) (at int64, ok bool) {
-	at, ok = a.models[model][version]
-	return at, ok
+// VersionLimits bound for how long a request may still begin on a version after a newer one was
+// announced, in microseconds.
+type VersionLimits struct {
+	InTermUS int64 // within a term
+	InAllUS  int64 // over all terms; 0 for none
 }
 
-// SupersededAt is the earliest time at which a version newer than the given one was announced,
-// and whether there is one. The bound on the given version counts from there.
-func (a *Announcements) SupersededAt(model string, version uint64) (at int64, ok bool) {
-	for newer, announcedAt := range a.models[model] {
-		if newer > version && (!ok || announcedAt < at) {
-			at, ok = announcedAt, true
-		}
+// Earlier are the limits less a slack.
+func (l VersionLimits) Earlier(slackUS int64) VersionLimits {
+	l.InTermUS -= slackUS
+	if l.InAllUS > 0 {
+		l.InAllUS -= slackUS
 	}
-	return at, ok
+	return l
 }
 
-// Each hands on every version, models by name and versions rising.
-func (a *Announcements) Each(on func(model string, version uint64, at int64)) {
-	for _, model := range slices.Sorted(maps.Keys(a.models)) {
-		versions := a.models[model]
-		for _, version := range slices.Sorted(maps.Keys(versions)) {
-			on(model, version, versions[version])
-		}
+// Shortest is the shorter of the limits.
+func (l VersionLimits) Shortest() int64 {
+	if l.InAllUS == 0 {
+		return l.InTermUS
+	}
+	return min(l.InTermUS, l.InAllUS)
+}
+
+// end is the time from which on a request must not begin on anything older.
+func (l VersionLimits) end(known announcement) int64 {
+	if l.InAllUS == 0 {
+		return known.at + l.InTermUS
 	}
+	return min(known.at+l.InTermUS, known.first+l.InAllUS)
 }
 
 // OldestAllowed is the oldest version of a model on which a request may still begin at the
-// time now: the newest of those that were announced longer than within microseconds ago; 0 if
-// there is none.
-func (a *Announcements) OldestAllowed(now int64, model string, within int64) (oldest uint64) {
-	for version, at := range a.models[model] {
-		if now-at > within {
+// time now: the newest of those whose limits have passed; 0 if there is none.
+func (a *Announcements) OldestAllowed(now int64, model string, limits VersionLimits) (oldest uint64) {
+	for version, known := range a.models[model] {
+		if now > limits.end(known) {
 			oldest = max(oldest, version)
 		}
 	}
 	return oldest
 }
+
+// UsableUntil is the time from which on no request may begin on a version, since a newer one was
+// announced, and whether there is such a time.
+func (a *Announcements) UsableUntil(model string, version uint64, limits VersionLimits) (until int64, superseded bool) {
+	for newer, known := range a.models[model] {
+		if end := limits.end(known); newer > version && (!superseded || end < until) {
+			until, superseded = end, true
+		}
+	}
+	return until, superseded
+}
--- a/route/announcements_test.go
+++ b/route/announcements_test.go
@@ -36,7 +36,7 @@
 			t.Errorf("%s: term %d, not %d", c.name, c.mine.Term(), c.term)
 		}
 		count := 0
-		c.mine.Each(func(_ string, version uint64, at int64) {
+		c.mine.Each(func(_ string, version uint64, at, _ int64) {
 			count++
 			if c.want[version] != at {
 				t.Errorf("%s: version %d since %d, not %d", c.name, version, at, c.want[version])
@@ -58,7 +58,7 @@
 			t.Errorf("version %d counts from %d, not %d", version, at, want)
 		}
 	}
-	if got := a.OldestAllowed(1_000, "m", 400); got != 1 {
+	if got := a.OldestAllowed(1_000, "m", VersionLimits{InTermUS: 400}); got != 1 {
 		t.Errorf("%d is the oldest that is allowed", got)
 	}
 }
@@ -79,11 +79,14 @@
 			}
 			before := proxy.Clone()
 			proxy.Merge(other)
-			proxy.Each(func(model string, version uint64, at int64) {
+			proxy.Each(func(model string, version uint64, at, first int64) {
 				was, known := before.AnnouncedAt(model, version)
 				if known && at > was && proxy.Term() == before.Term() {
 					t.Fatalf("seed %d: version %d counted from %d, now from %d", seed, version, was, at)
 				}
+				if known && first > before.models[model][version].first {
+					t.Fatalf("seed %d: version %d was known since %d, now since %d", seed, version, before.models[model][version].first, first)
+				}
 				if now, ok := other.AnnouncedAt(model, version); ok && other.Term() == proxy.Term() && at > now {
 					t.Fatalf("seed %d: version %d was known from %d, counts from %d", seed, version, now, at)
 				}
@@ -98,22 +101,51 @@
 		a.Observe("m", version, int64(version))
 	}
 	count := 0
-	a.Each(func(string, uint64, int64) { count++ })
+	a.Each(func(string, uint64, int64, int64) { count++ })
 	if _, ok := a.AnnouncedAt("m", 3*MaxAnnouncedVersions); count != MaxAnnouncedVersions || !ok {
 		t.Errorf("%d versions are kept, the newest %v", count, ok)
 	}
 }
 
-// TestSupersededAt: the bound on a version counts from the earliest newer one.
-func TestSupersededAt(t *testing.T) {
-	a := announced(3, map[uint64]int64{2: 700, 3: 400, 5: 900})
-	for version, want := range map[uint64]int64{1: 400, 2: 400, 3: 900, 4: 900, 5: 0, 6: 0} {
-		at, superseded := a.SupersededAt("m", version)
-		if at != want || superseded != (want > 0) {
-			t.Errorf("version %d: %d, %v, want %d", version, at, superseded, want)
-		}
+// TestUsableUntil: the earliest newer version counts, by the earlier of its two limits. The limit
+// over all terms goes on counting when a term starts.
+func TestUsableUntil(t *testing.T) {
+	const later = 5_000
+	for _, c := range []struct {
+		name   string
+		limits VersionLimits
+		want   map[uint64]int64 // by version; 0 for ever
+	}{
+		{"one limit", VersionLimits{InTermUS: 100}, map[uint64]int64{1: later + 100, 3: later + 100, 4: later + 100, 5: 0, 6: 0}},
+		{"the limit in all is far", VersionLimits{InTermUS: 100, InAllUS: 9_000}, map[uint64]int64{1: later + 100, 5: 0}},
+		{"the limit in all comes first", VersionLimits{InTermUS: 100, InAllUS: 3_000}, map[uint64]int64{1: 3_400, 2: 3_400, 3: 3_900, 4: 3_900, 5: 0}},
+		{"less a slack", VersionLimits{InTermUS: 100, InAllUS: 3_000}.Earlier(30), map[uint64]int64{1: 3_370}},
+		{"no limit in all, less a slack", VersionLimits{InTermUS: 100}.Earlier(30), map[uint64]int64{1: later + 70}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := announced(3, map[uint64]int64{2: 700, 3: 400, 5: 900})
+			a.StartTerm(4, later)
+			for version, want := range c.want {
+				until, superseded := a.UsableUntil("m", version, c.limits)
+				if until != want || superseded != (want > 0) {
+					t.Errorf("version %d is usable until %d, %v, want %d", version, until, superseded, want)
+				}
+				if want > 0 && (a.OldestAllowed(want, "m", c.limits) > version || a.OldestAllowed(want+1, "m", c.limits) <= version) {
+					t.Errorf("version %d: the oldest that is allowed does not agree with %d", version, want)
+				}
+			}
+			if _, superseded := a.UsableUntil("other", 1, c.limits); superseded {
+				t.Error("a model that nobody announced is superseded")
+			}
+		})
 	}
-	if _, superseded := a.SupersededAt("other", 1); superseded {
-		t.Error("a model that nobody announced is superseded")
+}
+
+// TestShortest: a bound of 0 over all terms is none.
+func TestShortest(t *testing.T) {
+	for limits, want := range map[VersionLimits]int64{{InTermUS: 5}: 5, {InTermUS: 5, InAllUS: 9}: 5, {InTermUS: 5, InAllUS: 3}: 3} {
+		if got := limits.Shortest(); got != want {
+			t.Errorf("%+v: %d", limits, got)
+		}
 	}
 }
--- a/route/bounds.go
+++ b/route/bounds.go
@@ -2,7 +2,7 @@
 
 // Bounds are the figures that an operator's rules set for a whole fleet (docs/design.md §3).
 // Fields that end in US are microseconds. Used are GraceUS, ConfigApplyUS, RevocationUS,
-// RevocationGlobal, VersionApplyUS, LeaseUS, RetryWindowUS, RetryRatio and RetryAllowance;
+// RevocationGlobal, VersionApplyUS, FleetApplyUS, LeaseUS, RetryWindowUS, RetryRatio and RetryAllowance;
 // docs/platform.md says how the others are kept.
 type Bounds struct {
 	SeedStaleUS       int64   // a list of seed nodes may be this much out of date
@@ -17,7 +17,8 @@
 	DowngradeUS       int64   // a request this late is not handled under an older configuration
 	ExtensionUS       int64   // a core without a leader stretches ConfigApplyUS by this at most
 	RevocationUS      int64   // a revoked key is refused everywhere
-	VersionApplyUS    int64   // no request begins on older weights
+	VersionApplyUS    int64   // no request begins on older weights, in one stretch without trouble
+	FleetApplyUS      int64   // the same over all such stretches together; 0 for no such bound
 	RetryWindowUS     int64   // window over which retries are counted
 	RecoveryUS        int64   // back in service after the last fault
 	TransitUS         int64   // an event's way from engine to caller
@@ -57,3 +58,8 @@
 		RevocationGlobal: true,
 	}
 }
+
+// VersionLimits are the bounds on new weights.
+func (b Bounds) VersionLimits() VersionLimits {
+	return VersionLimits{InTermUS: b.VersionApplyUS, InAllUS: b.FleetApplyUS}
+}
--- a/schema/fb/violetthread_generated.go
+++ b/schema/fb/violetthread_generated.go
@@ -5945,9 +5945,10 @@
 }
 
 type AnnouncedVersionT struct {
-	Model   string `json:"model"`
-	Version uint64 `json:"version"`
-	Age     int64  `json:"age"`
+	Model    string `json:"model"`
+	Version  uint64 `json:"version"`
+	Age      int64  `json:"age"`
+	TotalAge int64  `json:"total_age"`
 }
 
 func (t *AnnouncedVersionT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -5959,6 +5960,7 @@
 	AnnouncedVersionAddModel(builder, modelOffset)
 	AnnouncedVersionAddVersion(builder, t.Version)
 	AnnouncedVersionAddAge(builder, t.Age)
+	AnnouncedVersionAddTotalAge(builder, t.TotalAge)
 	return AnnouncedVersionEnd(builder)
 }
 
@@ -5966,6 +5968,7 @@
 	t.Model = string(rcv.Model())
 	t.Version = rcv.Version()
 	t.Age = rcv.Age()
+	t.TotalAge = rcv.TotalAge()
 }
 
 func (rcv *AnnouncedVersion) UnPack() *AnnouncedVersionT {
@@ -6036,8 +6039,20 @@
 	return rcv._tab.MutateInt64Slot(8, n)
 }
 
+func (rcv *AnnouncedVersion) TotalAge() int64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.GetInt64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *AnnouncedVersion) MutateTotalAge(n int64) bool {
+	return rcv._tab.MutateInt64Slot(10, n)
+}
+
 func AnnouncedVersionStart(builder *flatbuffers.Builder) {
-	builder.StartObject(3)
+	builder.StartObject(4)
 }
 func AnnouncedVersionAddModel(builder *flatbuffers.Builder, model flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(model), 0)
@@ -6048,6 +6063,9 @@
 func AnnouncedVersionAddAge(builder *flatbuffers.Builder, age int64) {
 	builder.PrependInt64Slot(2, age, 0)
 }
+func AnnouncedVersionAddTotalAge(builder *flatbuffers.Builder, totalAge int64) {
+	builder.PrependInt64Slot(3, totalAge, 0)
+}
 func AnnouncedVersionEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
