--- a/scripts/days/draw.go
+++ b/scripts/days/draw.go
@@ -38,6 +38,24 @@
 	{"mix", [2]float64{45, 75}, [2]float64{0.5, 1}, fillMix},
 }
 
+// directedThemes come only when they are named: the days of seeds stay as they are.
+var directedThemes = []theme{
+	{"rollouts", [2]float64{34, 55}, [2]float64{0.8, 1.3}, fillRollouts},
+}
+
+// themeOf is the theme that is named, or the seed's own.
+func themeOf(name string, seed uint64) (theme, error) {
+	if name == "" {
+		return themes[seed%uint64(len(themes))], nil
+	}
+	for _, one := range slices.Concat(themes, directedThemes) {
+		if one.name == name {
+			return one, nil
+		}
+	}
+	return theme{}, fmt.Errorf("theme %q: there is none", name)
+}
+
 // draft is a day that is being drawn.
 type draft struct {
 	day
@@ -47,7 +65,12 @@
 
 // draw makes the day of a seed: the same one for the same site and seed.
 func draw(s site, seed uint64) day {
-	picked := themes[seed%uint64(len(themes))]
+	own, _ := themeOf("", seed)
+	return drawTheme(s, seed, own)
+}
+
+// drawTheme makes a seed's day of a theme.
+func drawTheme(s site, seed uint64, picked theme) day {
 	d := &draft{random: rand.New(rand.NewPCG(seed, streamOfDays)), site: s}
 	reference := s.referenceDay()
 	d.day = day{
--- a/scripts/days/main.go
+++ b/scripts/days/main.go
@@ -1,7 +1,7 @@
 // Command days draws days of trouble for a deployment, to be played by the users'
 // bench, and tells in one line how one went (docs/hunts.md).
 //
-//	days draw SITE SEED FILE     the day of a seed, written to FILE
+//	days draw SITE SEED FILE [THEME]   the day of a seed, written to FILE; of THEME, if it is named
 //	days line NAME REPORT        one line on a report of the bench
 //	days kinds                   the kinds of trouble that are drawn, one a line
 //
@@ -18,7 +18,7 @@
 	"strconv"
 )
 
-const usage = "usage: days draw SITE SEED FILE | days line NAME REPORT | days kinds"
+const usage = "usage: days draw SITE SEED FILE [THEME] | days line NAME REPORT | days kinds"
 
 // errDayFailed means that a rule broke or a gate was not passed.
 var errDayFailed = errors.New("the day failed")
@@ -41,7 +41,9 @@
 	verb, rest := arguments[0], arguments[1:]
 	switch {
 	case verb == "draw" && len(rest) == 3:
-		return drawFile(rest[0], rest[1], rest[2])
+		return drawFile(rest[0], rest[1], rest[2], "")
+	case verb == "draw" && len(rest) == 4:
+		return drawFile(rest[0], rest[1], rest[2], rest[3])
 	case verb == "line" && len(rest) == 2:
 		return printLine(out, rest[0], rest[1])
 	case verb == "kinds" && len(rest) == 0:
@@ -50,7 +52,7 @@
 	return errors.New(usage)
 }
 
-func drawFile(sitePath, seedText, dayPath string) error {
+func drawFile(sitePath, seedText, dayPath, themeName string) error {
 	seed, err := strconv.ParseUint(seedText, 10, 63)
 	if err != nil {
 		return fmt.Errorf("seed %q: give a whole number from 0 on", seedText)
@@ -59,7 +61,11 @@
 	if err != nil {
 		return err
 	}
-	return draw(s, seed).write(dayPath)
+	picked, err := themeOf(themeName, seed)
+	if err != nil {
+		return err
+	}
+	return drawTheme(s, seed, picked).write(dayPath)
 }
 
 func printLine(out io.Writer, name, reportPath string) error {
--- a/scripts/days/main_test.go
+++ b/scripts/days/main_test.go
@@ -305,3 +305,33 @@
 		t.Errorf("%d kinds listed of %d", len(lines), len(kinds))
 	}
 }
+
+// TestDirectedThemes: a theme that is named comes whatever the seed; one that nobody knows is an
+// error. A day of rollouts names new weights and lets engines restart soon after.
+func TestDirectedThemes(t *testing.T) {
+	s, sitePath := testSite(t)
+	rollouts, err := themeOf("rollouts", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range uint64(manySeeds) {
+		count := map[string]int{}
+		drawn := drawTheme(s, seed, rollouts)
+		for _, one := range slices.Concat(drawn.Plan, drawn.Faults) {
+			count[one.Kind]++
+			if one.At < 2 || one.At > drawn.LengthS-tailS {
+				t.Errorf("seed %d: %s at %v of %v s", seed, one.Kind, one.At, drawn.LengthS)
+			}
+		}
+		if count["version_bump"] < 2 || count["srv_crash"] < 3 || count["burst"]+count["srv_slow"] == 0 {
+			t.Errorf("seed %d: a day of rollouts with %v", seed, count)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "day.toml")
+	if err := run([]string{"draw", sitePath, "4", path, "rollouts"}, nil); err != nil {
+		t.Error(err)
+	}
+	if err := run([]string{"draw", sitePath, "4", path, "nobody's"}, nil); err == nil {
+		t.Error("a theme that nobody knows was drawn")
+	}
+}
--- a/scripts/days/themes.go
+++ b/scripts/days/themes.go
@@ -170,3 +170,38 @@
 		d.close()
 	}
 }
+
+// rolloutFloor is the floor of days that press the pool beyond what it can carry: they are played
+// for their rules.
+const rolloutFloor = 0.01
+
+// fillRollouts: new weights are named one after the other in a pool that is short of room, while
+// engines restart with the weights that they had and slow down, and proxies and control nodes come
+// and go. What waits in an engine's queue must not begin on weights whose bound has passed.
+func fillRollouts(d *draft) {
+	d.Goal, d.FloorClasses, d.FloorZones = goal{rolloutFloor}, nil, nil
+	d.spread("version_bump", d.between(2, 4), 5, 12)
+	d.shortOfRoom()
+	for at := d.between(3, 6); at < d.LengthS-tailS; at += d.between(2.5, 4.5) {
+		d.put(entry{Kind: "srv_crash", At: hundredth(at), Service: d.engines(), Share: d.between(0.1, 0.35), ForS: d.between(0.2, 1.2)})
+	}
+	for range d.upTo(3) {
+		d.add(d.pickKind("node_kill", "node_freeze", "node_slow", "roll_term", "hup", "reset_conns", "node_cut"), d.moment())
+	}
+	if d.chance(0.4) {
+		d.add(d.pickKind("core_cut", "herd_kill", "after_ack_kill", "replace_core"), d.moment())
+	}
+	if d.chance(0.5) {
+		d.add(d.pickKind("release", "scale_out", "replace_with_reuse", "srv_grey", "answer_lost", "kv_slow"), d.moment())
+	}
+}
+
+// shortOfRoom makes the engines slow, or sends more than they can carry, for most of the day.
+func (d *draft) shortOfRoom() {
+	forS := d.LengthS - 8
+	if d.chance(0.5) {
+		d.put(entry{Kind: "srv_slow", At: 3, Service: d.engines(), Share: d.between(0.3, 0.7), X: d.between(1.5, 3), ForS: forS})
+		return
+	}
+	d.put(entry{Kind: "burst", At: 3, X: d.between(1.2, 1.8), ForS: forS})
+}
