One pair of functions packs and unpacks a cache update; a comment names what is there

Change: codec.PackUpdate and codec.UnpackUpdate. Behaviour stays. Measured: tests of codec, directory, controlorder, docs.

--- a/internal/app/directory/loads.go
+++ b/internal/app/directory/loads.go
@@ -5,6 +5,7 @@
 
 	"violetthread/cacheindex"
 	"violetthread/internal/clock"
+	"violetthread/internal/codec"
 	"violetthread/schema/fb"
 )
 
@@ -168,18 +169,18 @@
 }
 
 // noteRead takes in one block that an engine computes or has computed. Called under the lock.
-func (d *Directory) noteRead(update *fb.CacheUpdateT) {
-	cached, followed := d.cachedBlocks[update.Holder]
+func (d *Directory) noteRead(packed *fb.CacheUpdateT) {
+	update := codec.UnpackUpdate(packed)
+	cached, followed := d.cachedBlocks[update.Node]
 	if !followed {
 		return // gone, or not known yet
 	}
-	key := cacheindex.Key{Hi: update.Hi, Lo: update.Lo, Check: update.Check}
-	switch op := cacheindex.UpdateOp(update.Op); {
-	case cached[key]:
-	case op == cacheindex.OpReading:
-		d.events.Append(cacheindex.Update{Key: key, Node: update.Holder, Op: op})
-	case op == cacheindex.OpAdd:
-		cached[key] = true
-		d.events.Append(cacheindex.Update{Key: key, Node: update.Holder, Op: op})
+	switch {
+	case cached[update.Key]:
+	case update.Op == cacheindex.OpReading:
+		d.events.Append(update)
+	case update.Op == cacheindex.OpAdd:
+		cached[update.Key] = true
+		d.events.Append(update)
 	}
 }
--- a/internal/app/directory/map_response.go
+++ b/internal/app/directory/map_response.go
@@ -138,13 +138,7 @@
 	}
 	response.UpdatesIncarnation, response.UpdatesNext, response.UpdatesReset = batch.Incarnation, batch.Next, batch.Reset
 	for _, event := range batch.Updates {
-		response.Updates = append(response.Updates, &fb.CacheUpdateT{
-			Hi:     event.Key.Hi,
-			Lo:     event.Key.Lo,
-			Check:  event.Key.Check,
-			Holder: event.Node,
-			Op:     byte(event.Op),
-		})
+		response.Updates = append(response.Updates, codec.PackUpdate(event))
 	}
 }
 
--- a/internal/app/proxy/fleet.go
+++ b/internal/app/proxy/fleet.go
@@ -84,7 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, update := range reading {
-		s.picker.ReadingStarted(now, keyOf(update), update.Holder)
+		s.picker.ReadingStarted(now, codec.UnpackUpdate(update).Key, update.Holder)
 	}
 }
 
@@ -99,20 +99,16 @@
 	for _, update := range state.Updates {
 		switch cacheindex.UpdateOp(update.Op) {
 		case cacheindex.OpAdd:
-			s.hints.Put(keyOf(update), update.Holder)
+			s.hints.Put(codec.UnpackUpdate(update).Key, update.Holder)
 		case cacheindex.OpReading:
 			reading = append(reading, update)
 		default:
-			s.hints.Remove(keyOf(update), update.Holder)
+			s.hints.Remove(codec.UnpackUpdate(update).Key, update.Holder)
 		}
 	}
 	return reading
 }
 
-func keyOf(update *fb.CacheUpdateT) cacheindex.Key {
-	return cacheindex.Key{Hi: update.Hi, Lo: update.Lo, Check: update.Check}
-}
-
 // maxUnreportedReads bounds what is kept for control nodes of blocks that engines read.
 const maxUnreportedReads = 1000
 
@@ -124,7 +120,7 @@
 	}
 	holder := placement.EngineHolderID(engineID)
 	for _, key := range keys {
-		s.unreportedReads = append(s.unreportedReads, &fb.CacheUpdateT{Hi: key.Hi, Lo: key.Lo, Check: key.Check, Holder: holder, Op: byte(op)})
+		s.unreportedReads = append(s.unreportedReads, codec.PackUpdate(cacheindex.Update{Key: key, Node: holder, Op: op}))
 	}
 }
 
--- a/internal/codec/updates.go
+++ b/internal/codec/updates.go
@@ -105,10 +105,22 @@
 // UnpackUpdates unpacks cache updates.
 func UnpackUpdates(updates []*fb.CacheUpdateT) []cacheindex.Update {
 	return lo.Map(updates, func(u *fb.CacheUpdateT, _ int) cacheindex.Update {
-		return cacheindex.Update{Key: unpackKey(u), Node: u.Holder, Op: cacheindex.UpdateOp(u.Op)}
+		return UnpackUpdate(u)
 	})
 }
 
+// UnpackUpdate unpacks one cache update.
+func UnpackUpdate(t *fb.CacheUpdateT) cacheindex.Update {
+	return cacheindex.Update{Key: unpackKey(t), Node: t.Holder, Op: cacheindex.UpdateOp(t.Op)}
+}
+
+// PackUpdate packs one cache update.
+func PackUpdate(u cacheindex.Update) *fb.CacheUpdateT {
+	t := packKey(u.Key)
+	t.Holder, t.Op = u.Node, byte(u.Op)
+	return t
+}
+
 // UnpackLocations unpacks where the holders in a feed's answer are.
 func UnpackLocations(t *fb.UpdatesResponseT) []index.HolderLocation {
 	return lo.Map(t.Locations, func(l *fb.HolderLocationT, _ int) index.HolderLocation {
@@ -118,9 +130,7 @@
 
 func packUpdates(updates []cacheindex.Update) []*fb.CacheUpdateT {
 	return lo.Map(updates, func(u cacheindex.Update, _ int) *fb.CacheUpdateT {
-		t := packKey(u.Key)
-		t.Holder, t.Op = u.Node, byte(u.Op)
-		return t
+		return PackUpdate(u)
 	})
 }
 
--- a/internal/controlorder/controlorder.go
+++ b/internal/controlorder/controlorder.go
@@ -1,6 +1,5 @@
 // Package controlorder decides in which order a follower of the fleet's state asks the control
-// nodes (docs/design.md §12): proxies do so, and the simulated proxies of internal/scale, which
-// must load the control nodes as proxies do.
+// nodes (docs/design.md §12): proxies do so.
 //
 // The first of the order is asked. Nodes that failed lately come last, and among them the one
 // that was tried longest ago comes first. Of the others those with a fresh list of engines go
