--- a/docs/symbols_test.go
+++ b/docs/symbols_test.go
@@ -22,7 +22,7 @@
 	"../README.md", "../DEVELOPERS.md", "ROADMAP.md", "glossary.md", "logs.md", "oncall.md",
 	"architecture.md", "design.md", "bounds.md", "control-safety.md", "platform.md", "paper.md",
 	"operating.md", "platform-operating.md", "caller-api.md", "engine-protocol.md", "simulator.md", "hunts.md",
-	"incidents/cut-off-node.md", "incidents/full-disk.md", "incidents/full-log.md", "incidents/lost-acknowledgement.md",
+	"incidents/cut-off-node.md", "incidents/full-disk.md", "incidents/full-log.md", "incidents/late-version.md", "incidents/lost-acknowledgement.md",
 	"incidents/replacement-margin.md", "incidents/selat-inc-f216.md", "incidents/subtitulos-inc-6226.md",
 }
 
