--- a/internal/app/proxy/versionwait.go
+++ b/internal/app/proxy/versionwait.go
@@ -12,7 +12,7 @@
 // An attempt may begin on a version of a model's weights until the bound on the newer ones. When
 // it begins its engine decides: it may be queued there for as long as its caller waits. So the
 // bound is looked at three times: when the engine is selected (minVersion), when the request is
-// written (engineAttempt.mayDispatch), and for as long as the engine has not begun. What is
+// written (engineAttempt.exchange), and for as long as the engine has not begun. What is
 // still queued shortly before the bound is withdrawn: its connection is reset.
 const (
 	// dispatchSlackUS is how long before the bound engines on older weights get nothing new.
