--- a/review/testdata/standin/early.go
+++ b/review/testdata/standin/early.go
@@ -13,7 +13,7 @@
 	// versionApply is the bound of the settings.
 	versionApply = 12 * time.Second
 	// longRequestBytes is a body within max-body-bytes.
-	longRequestBytes = 400_000
+	longRequestBytes = 1_000_000
 )
 
 // playEarly: new weights are named while a stream runs. Its engine takes the order, and turns
--- a/review/testdata/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -50,6 +50,7 @@
 	fence    int
 	active   int
 	shown    []shownVersion
+	runs     map[string]int // by id
 }
 
 // shownVersion is what the list shows from a time on.
@@ -258,6 +259,10 @@
 		return 503
 	}
 	e.active++
+	if e.runs == nil {
+		e.runs = map[string]int{}
+	}
+	e.runs[q.Header.Get(hdrID)]++
 	return 0
 }
 
@@ -295,6 +300,13 @@
 	return e.stream(c, q, id)
 }
 
+// ran reports whether a request ran here.
+func (e *engine) ran(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id] > 0
+}
+
 func (e *engine) finish() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -340,6 +352,9 @@
 // stream answers with a stream of events; the path says how many and how far apart.
 func (e *engine) stream(c net.Conn, q *http.Request, id string) bool {
 	count, gap := 3, 20*time.Millisecond
+	if strings.HasSuffix(q.URL.Path, "/fast") {
+		count, gap = 2, time.Millisecond
+	}
 	if strings.HasSuffix(q.URL.Path, "/long") {
 		count, gap = 49, 200*time.Millisecond
 	}
