review: queued requests begin past the bound on new weights (VERSION)

Cause: what is withdrawn by a reset is taken to have ended, which holds only for engines that drop it; the last engines of a busy pool get their update after the bound. Change: case 2 of the review, and engines that queue in its stand-in.

--- a/review/testdata/standin/client.go
+++ b/review/testdata/standin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -50,6 +51,7 @@
 	sent   *sentBodies
 	http   *http.Client
 	addr   string
+	quiet  bool // its requests are not written down
 }
 
 func newClient(r *record, sent *sentBodies, addr string) *client {
@@ -73,17 +75,10 @@
 	c.sent.put(id, body)
 	ctx, cancel := context.WithTimeout(ctx, deadline+2*time.Second)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.addr+path, bytes.NewReader(body))
+	q, err := c.request(ctx, id, path, body, deadline)
 	if err != nil {
 		return result{id: id, err: err}
 	}
-	q.Host = hostName
-	q.Header.Set(hdrID, id)
-	q.Header.Set("Api-Key", apiKey)
-	q.Header.Set("X-Violetthread-Model-Name", modelName)
-	q.Header.Set("X-Violetthread-Token-Counts", "1460,80")
-	q.Header.Set("X-Violetthread-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,"+id[:8]+":250")
-	q.Header.Set("X-Violetthread-Deadline-Remaining", fmt.Sprint(deadline.Milliseconds()))
 	c.record.note("client sends %s %s with %d bytes, %d ms", id, path, bodyBytes, deadline.Milliseconds())
 	answer, err := c.http.Do(q)
 	if err != nil {
@@ -95,3 +90,53 @@
 	c.record.note("client got %d to %s, %d bytes, error %v", answer.StatusCode, id, len(text), err)
 	return result{id, answer.StatusCode, text, err}
 }
+
+// tryStream sends one request for a stream, and gives it up after a silence as clients do. It returns
+// the status of an answer that came whole, 0 for none.
+func (c *client) tryStream(ctx context.Context, path string, deadline time.Duration) int {
+	ctx, cancel := context.WithTimeout(ctx, deadline+2*time.Second)
+	defer cancel()
+	silence := time.AfterFunc(giveUpAfter, cancel)
+	defer silence.Stop()
+	id := newID()
+	body := []byte("ticket")
+	c.sent.put(id, body)
+	q, err := c.request(ctx, id, path, body, deadline)
+	if err != nil {
+		return 0
+	}
+	answer, err := c.http.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			silence.Reset(giveUpAfter)
+		}
+		if errors.Is(err, io.EOF) {
+			return answer.StatusCode
+		}
+		if err != nil {
+			return 0
+		}
+	}
+}
+
+// request is one try.
+func (c *client) request(ctx context.Context, id, path string, body []byte, deadline time.Duration) (*http.Request, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	q.Host = hostName
+	q.Header.Set(hdrID, id)
+	q.Header.Set("Api-Key", apiKey)
+	q.Header.Set("X-Violetthread-Model-Name", modelName)
+	q.Header.Set("X-Violetthread-Token-Counts", "1460,80")
+	q.Header.Set("X-Violetthread-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,"+id[:8]+":250")
+	q.Header.Set("X-Violetthread-Deadline-Remaining", fmt.Sprint(deadline.Milliseconds()))
+	return q, nil
+}
--- a/review/testdata/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -50,6 +51,7 @@
 	fence    int
 	active   int
 	shown    []shownVersion
+	capacity int            // slots that the list shows; 0 for 128
 	runs     map[string]int // by id
 }
 
@@ -384,7 +386,7 @@
 		instances := []any{}
 		for _, e := range engines() {
 			instances = append(instances, map[string]any{
-				"instance-id": e.id, "service": e.service, "address": e.addr, "zone": "cyb-a", "version": "v1", "capacity": 128,
+				"instance-id": e.id, "service": e.service, "address": e.addr, "zone": "cyb-a", "version": "v1", "capacity": cmp.Or(e.capacity, 128),
 				"state": "ready", "warmup-remaining-ms": 0, "phase": "combined",
 				"models": []any{map[string]any{"name": modelName, "version": e.listed(), "adapters": []any{}}},
 			})
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -29,7 +29,9 @@
 type scenario func(ctx context.Context, f *fleet, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"early": playEarly,
+	"early":  playEarly,
+	"hangup": playHangup,
+	"queue":  playQueue,
 }
 
 func main() { os.Exit(run()) }
