--- a/review/testdata/standin/client.go
+++ b/review/testdata/standin/client.go
@@ -52,6 +52,7 @@
 	http   *http.Client
 	addr   string
 	quiet  bool // its requests are not written down
+	apart  bool // its requests share no parts, so that they go to all engines
 }
 
 func newClient(r *record, sent *sentBodies, addr string) *client {
@@ -136,7 +137,11 @@
 	q.Header.Set("Api-Key", apiKey)
 	q.Header.Set("X-Violetthread-Model-Name", modelName)
 	q.Header.Set("X-Violetthread-Token-Counts", "1460,80")
-	q.Header.Set("X-Violetthread-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,"+id[:8]+":250")
+	shared := "5c1e07a2:800,91bd3f06:410,"
+	if c.apart {
+		shared = id[8:] + ":800,"
+	}
+	q.Header.Set("X-Violetthread-Prompt-Prefix", shared+id[:8]+":250")
 	q.Header.Set("X-Violetthread-Deadline-Remaining", fmt.Sprint(deadline.Milliseconds()))
 	return q, nil
 }
--- a/review/testdata/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -44,15 +44,16 @@
 	// sent is what clients sent, by id, to compare with what arrives.
 	sent *sentBodies
 
-	mu       sync.Mutex
-	version  int
-	ordered  int // version being loaded, 0 for none
-	sequence int
-	fence    int
-	active   int
-	shown    []shownVersion
-	capacity int            // slots that the list shows; 0 for 128
-	runs     map[string]int // by id
+	mu                    sync.Mutex
+	version               int
+	ordered               int // version being loaded, 0 for none
+	sequence              int
+	fence                 int
+	active                int
+	shown                 []shownVersion
+	capacity              int            // slots that the list shows; 0 for 128
+	runs                  map[string]int // by id
+	earlyAnswers, answers int            // counted by countAnswer
 }
 
 // shownVersion is what the list shows from a time on.
@@ -276,7 +277,7 @@
 		e.record.broke("UNASKED: %s got a request with id %q that no client sent: %s %s", e.id, id, q.Method, q.RequestURI)
 	}
 	status := e.admit(q)
-	if status != 0 && e.early && len(want) > longBytes {
+	if e.countAnswer(status != 0, len(want) > longBytes) {
 		return e.turnAwayEarly(c, q, id, want, status)
 	}
 	body, err := io.ReadAll(q.Body)
