review: a request that comes whole late after SIGTERM is passed on and cut (LOST)

Cause: the drain of a proxy reads the bodies of requests whose heads have come, and passes them on, however late they are whole.

--- a/review/testdata/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -358,6 +358,9 @@
 	if strings.HasSuffix(q.URL.Path, "/fast") {
 		count, gap = 2, time.Millisecond
 	}
+	if strings.HasSuffix(q.URL.Path, "/4s") {
+		count, gap = 20, 200*time.Millisecond
+	}
 	if strings.HasSuffix(q.URL.Path, "/long") {
 		count, gap = 49, 200*time.Millisecond
 	}
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -29,9 +29,10 @@
 type scenario func(ctx context.Context, f *fleet, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"early":  playEarly,
-	"hangup": playHangup,
-	"queue":  playQueue,
+	"early":    playEarly,
+	"hangup":   playHangup,
+	"latesend": playLateSend,
+	"queue":    playQueue,
 }
 
 func main() { os.Exit(run()) }
