--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -32,6 +32,7 @@
 	"early":    playEarly,
 	"hangup":   playHangup,
 	"latesend": playLateSend,
+	"limits":   playLimits,
 	"queue":    playQueue,
 }
 
