--- a/review/testdata/standin/hangup.go
+++ b/review/testdata/standin/hangup.go
@@ -16,7 +16,7 @@
 	hangupShare  = 2
 	hangupRounds = 3
 	// hangupAfter is how long after its start a process gets the signal.
-	hangupAfter = 3 * time.Millisecond
+	hangupAfter = time.Millisecond
 	// restartDelay is how long the platform waits before it starts a process that has ended.
 	restartDelay = 300 * time.Millisecond
 	// ownEndsAllowed is how often a process may end by itself: the rule counts machines with three.
