Report responses of engines that break the protocol, by engine and violation

Change: package internal/eventstream parses events strictly; the proxy counts (responses_invalid) and logs (response_invalid, response_invalid_result) what it sees. Nothing is decided by it.

--- a/internal/app/proxy/adapter.go
+++ b/internal/app/proxy/adapter.go
@@ -54,6 +54,9 @@
 	SetEngineHeaders(h http.Header, r EngineRequest)
 	// ParseResponse parses the status and headers of an engine's response.
 	ParseResponse(status int, h http.Header) ResponseInfo
+	// ValidEventField reports whether a field that is not part of the standard for server-sent events
+	// may stand before the others in an event of an engine's stream.
+	ValidEventField(name, value string) bool
 	// ParseConfig parses the value of the configuration register; nil if it is malformed.
 	ParseConfig(value []byte, revision uint64) *route.Table
 }
--- a/internal/app/proxy/doc.go
+++ b/internal/app/proxy/doc.go
@@ -11,6 +11,7 @@
 //	engineattempt.go   one attempt at one engine
 //	enginerequest.go   encodes the request to the engine
 //	engineresponse.go  reads and validates the head of the engine's response
+//	invalidresponse.go what is reported about a response that breaks the protocol
 //	versionwait.go     until when an attempt may start on an engine's weights
 //	relay.go           passes a response on to the caller; stream.go: event streams
 //	connpool.go        pool of connections to engines; engineconn.go: a single one
--- a/internal/app/proxy/engineattempt.go
+++ b/internal/app/proxy/engineattempt.go
@@ -6,6 +6,7 @@
 
 	"violetthread/attempt"
 	"violetthread/internal/clock"
+	"violetthread/internal/eventstream"
 	"violetthread/placement"
 )
 
@@ -20,6 +21,10 @@
 	started       bool // the engine has started the content of its response
 	withdrawn     bool // the engine had not started shortly before the deadline for the newer weights
 	resuming      bool // continues a stream that another engine started
+
+	events    int                   // of a stream, passed on to the caller
+	lastID    uint64                // of the last event
+	violation eventstream.Violation // the first one of the response; empty for none
 }
 
 // outcome is how an attempt ended.
@@ -105,7 +110,11 @@
 	case writeErr != nil:
 		return a.interrupted(reasonEngineLost), nil
 	}
-	if cause := rejectReason(response, info); cause != "" {
+	switch cause := rejectReason(response, info); cause {
+	case "":
+	case reasonEngineMalformed:
+		return a.invalidResponse(unsealedResponse), nil
+	default:
 		return a.interrupted(cause), nil
 	}
 	if end = a.relay(response); end != completed {
--- a/internal/app/proxy/engineresponse.go
+++ b/internal/app/proxy/engineresponse.go
@@ -28,6 +28,9 @@
 			continue
 		}
 		if err != nil {
+			if !isConnectionError(err) {
+				a.reportInvalid(invalidHead)
+			}
 			a.recordIdleLoss(err)
 			return nil, ResponseInfo{}, a.interrupted(reasonEngineLost)
 		}
@@ -39,10 +42,10 @@
 			return response, info, outcome{}
 		}
 		if a.conn.used == 0 || info.AttemptID == "" || stale == maxStaleResponses || response.Close {
-			return nil, ResponseInfo{}, a.interrupted(reasonEngineMalformed)
+			return nil, ResponseInfo{}, a.invalidResponse(foreignResponse)
 		}
 		if !discard(response.Body, maxStaleResponseBytes) {
-			return nil, ResponseInfo{}, a.interrupted(reasonEngineMalformed)
+			return nil, ResponseInfo{}, a.invalidResponse(foreignResponse)
 		}
 		stale++
 	}
@@ -78,7 +81,7 @@
 // response if its body was read to the end.
 func (a *engineAttempt) notRun(response *http.Response) (outcome, *http.Response) {
 	if !engineNotRunStatuses[response.StatusCode] {
-		return a.interrupted(reasonEngineMalformed), nil
+		return a.invalidResponse(invalidNotRun), nil
 	}
 	end := outcome{attempt.NotStarted, causeNotRun}
 	if response.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/app/proxy/export_test.go
+++ b/internal/app/proxy/export_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"violetthread/attempt"
 	"violetthread/cacheindex"
@@ -21,6 +25,48 @@
 type Standalone struct {
 	server *server
 	Listen string
+
+	logMu    sync.Mutex
+	logLines []string
+}
+
+// LoggedWith returns the lines logged so far that contain text.
+func (u *Standalone) LoggedWith(text string) (lines []string) {
+	u.logMu.Lock()
+	defer u.logMu.Unlock()
+	for _, line := range u.logLines {
+		if strings.Contains(line, text) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// newLogger returns a logger that keeps its lines.
+func (u *Standalone) newLogger() logr.Logger {
+	return funcr.New(func(_, line string) {
+		u.logMu.Lock()
+		defer u.logMu.Unlock()
+		u.logLines = append(u.logLines, line)
+	}, funcr.Options{})
+}
+
+// InvalidResponses returns the counts of invalid responses by violation.
+func (u *Standalone) InvalidResponses(t testing.TB) map[string]float64 {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(u.server.counts.invalidResponses)
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := map[string]float64{}
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			counts[metric.GetLabel()[0].GetValue()] = metric.GetCounter().GetValue()
+		}
+	}
+	return counts
 }
 
 // NewStandalone starts a proxy that listens for callers.
@@ -30,16 +76,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	u := &Standalone{}
 	bounds := route.DefaultBounds()
 	bounds.RetryAllowance, bounds.RetryRatio = 1e9, 1
 	c := &server{
 		settings:       Settings{Name: "unattached", Zone: "here", Bounds: bounds, Cost: placement.DefaultCostModel()},
-		daemon:         quietDaemon(),
+		daemon:         quietDaemon(u.newLogger()),
 		adapter:        adapter,
 		pool:           newConnPool(),
 		hints:          cacheindex.NewHolderTable(64),
 		retryWindows:   map[string]*attempt.RetryWindow{},
 		retryAllowance: 1e9,
+		counts:         counts{invalidResponses: newInvalidResponses()},
 		decisions:      newDecisionMetrics(),
 		loadChanges:    make(chan struct{}, 1),
 	}
@@ -51,7 +99,8 @@
 		c.pool.closeIdle()
 		c.daemon.Group.Stop()
 	})
-	return &Standalone{server: c, Listen: l.Addr().String()}
+	u.server, u.Listen = c, l.Addr().String()
+	return u
 }
 
 // SetEngines replaces the engines by ones without a record of failures.
@@ -94,9 +143,9 @@
 	u.server.view.Store(&v)
 }
 
-func quietDaemon() *daemon.Daemon {
+func quietDaemon(log logr.Logger) *daemon.Daemon {
 	d := daemon.New("proxy", "unattached", "127.0.0.1:0", 0)
-	d.Log = logr.Discard()
+	d.Log = log
 	return d
 }
 
--- a/internal/app/proxy/forwarded.go
+++ b/internal/app/proxy/forwarded.go
@@ -29,6 +29,8 @@
 	forward     attempt.Forward
 	placement   placement.Request
 	lastEventID string // id of the last event that was sent to the caller
+
+	invalidResponses int // that engines sent
 }
 
 const (
@@ -56,6 +58,7 @@
 			}
 		case attempt.ForwardDone:
 			s.counts.done.Add(1)
+			f.logInvalidResult(resultComplete)
 			return
 		case attempt.ForwardReject:
 			f.reject(decision.Reason)
@@ -67,6 +70,7 @@
 			// ForwardAbort: a partial response must not look complete. ForwardWait can't occur,
 			// as no attempt is in flight here.
 			s.counts.aborted.Add(1)
+			f.logInvalidResult(resultCut)
 			f.abort()
 		}
 	}
@@ -82,6 +86,7 @@
 // respondLost responds that the request may have run and that its response was lost.
 func (f *forwardedRequest) respondLost(reason string) {
 	f.server.counts.lost.Add(1)
+	f.logInvalidResult(resultLost)
 	if f.request.Context().Err() != nil {
 		f.abort() // nobody is left to respond to
 	}
@@ -99,6 +104,7 @@
 	for _, a := range f.forward.Attempts {
 		if a.State == attempt.Interrupted {
 			s.counts.lost.Add(1)
+			f.logInvalidResult(resultLost)
 			if f.forward.HeadSent {
 				f.abort()
 			}
@@ -107,6 +113,7 @@
 		}
 	}
 	s.counts.rejected.Add(1)
+	f.logInvalidResult(resultRejected)
 	backoff := int64(backoffRefusedUS)
 	if reason == reasonNoEngine {
 		backoff = backoffNoEngineUS
--- a/internal/app/proxy/metrics.go
+++ b/internal/app/proxy/metrics.go
@@ -17,6 +17,7 @@
 	resumed                                     atomic.Int64 // streams
 	withdrawn                                   atomic.Int64 // attempts that had not started shortly before the deadline for newer weights
 	outdated                                    atomic.Int64 // responses that started on weights past their deadline
+	invalidResponses                            *prometheus.CounterVec
 	prefillTokens, transferTokens, cachedTokens atomic.Int64
 }
 
@@ -41,11 +42,21 @@
 	counter("tokens_read", "prompt tokens that engines had to read, as estimated", &c.prefillTokens)
 	counter("tokens_moved", "prompt tokens that engines were told to take", &c.transferTokens)
 	counter("tokens_hit", "prompt tokens hinted to be kept where they were needed", &c.cachedTokens)
+	s.daemon.Metrics.MustRegister(c.invalidResponses)
 	s.decisions.register(s.daemon.Metrics)
 	s.daemon.Gauge("config_age_us", "time since the configuration was known to be in force", func() float64 { return float64(s.view.Load().age(clock.Now())) })
 	s.daemon.Gauge("hints", "entries in the hint table", func() float64 { return float64(s.hints.Len()) })
 }
 
+// newInvalidResponses returns the counter of responses that broke the protocol.
+func newInvalidResponses() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: daemon.MetricNamespace,
+		Name:      "responses_invalid",
+		Help:      "responses of engines that broke the protocol, by the first violation",
+	}, []string{"violation"})
+}
+
 // decisionMetrics measure the accuracy of placement: the predicted time to the first event at the
 // chosen engine, and the actual time.
 type decisionMetrics struct {
--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -29,11 +29,11 @@
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.StatusCode == http.StatusNoContent
 	switch {
 	case !framed: // without framing, a truncated response would look complete
-		return a.interrupted(reasonEngineMalformed)
+		return a.invalidResponse(unframedBody)
 	case stream:
 		return a.relayStream(response)
 	case a.forwarded.forward.HeadSent: // only a stream can continue a stream
-		return a.interrupted(reasonEngineMalformed)
+		return a.invalidResponse(notAStream)
 	}
 	return a.relayNonStream(response)
 }
@@ -44,6 +44,7 @@
 	a.setConnDeadline(clock.Now(), a.responseDeadline())
 	var buffered bytes.Buffer
 	if _, err := io.Copy(&buffered, io.LimitReader(response.Body, bufferedResponseBytes)); err != nil {
+		a.reportInvalidBody(err)
 		return a.interrupted(reasonEngineLost)
 	}
 	if response.StatusCode >= 500 && a.mayRetryElsewhere() {
--- a/internal/app/proxy/server.go
+++ b/internal/app/proxy/server.go
@@ -105,6 +105,7 @@
 		hints:          cacheindex.NewHolderTable(settings.HintEntries),
 		retryWindows:   map[string]*attempt.RetryWindow{},
 		retryAllowance: 1,
+		counts:         counts{invalidResponses: newInvalidResponses()},
 		decisions:      newDecisionMetrics(),
 		loadChanges:    make(chan struct{}, 1),
 	}
--- a/internal/app/proxy/stream.go
+++ b/internal/app/proxy/stream.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
+
+	"violetthread/internal/eventstream"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -46,7 +49,9 @@
 	br := bufio.NewReaderSize(response.Body, 4096)
 	for {
 		event, id, err := readEvent(br)
+		a.observeEvent(event, err)
 		if err != nil && err != io.EOF {
+			a.reportInvalidBody(err)
 			return a.interrupted(reasonEngineLost)
 		}
 		if len(event) > 0 || !a.started {
@@ -61,6 +66,22 @@
 	}
 }
 
+// observeEvent reports an event that a stream may not hold. It decides nothing.
+func (a *engineAttempt) observeEvent(event []byte, readErr error) {
+	if readErr != nil && (readErr != io.EOF || len(event) == 0) {
+		return
+	}
+	parsed, err := eventstream.Parse(event, a.forwarded.server.adapter.ValidEventField)
+	var violation eventstream.Violation
+	switch {
+	case errors.As(err, &violation):
+		a.reportInvalid(violation)
+	case a.events > 0 && parsed.ID <= a.lastID:
+		a.reportInvalid(eventstream.IDNotRising)
+	}
+	a.lastID = parsed.ID
+}
+
 // startStream sends the head, unless the stream continues that of another engine. Only the first
 // call has an effect.
 func (a *engineAttempt) startStream(response *http.Response) {
@@ -85,6 +106,7 @@
 		return false
 	}
 	_ = http.NewResponseController(f.writer).Flush()
+	a.events++
 	switch {
 	case id != "":
 		f.lastEventID = id
