--- a/internal/app/proxy/invalidresponse_test.go
+++ b/internal/app/proxy/invalidresponse_test.go
@@ -1,7 +1,6 @@
 package proxy_test
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 
@@ -28,41 +27,18 @@
 	{"a line before an event", "junk\n", eventstream.InvalidField},
 }
 
-// streamWith returns a complete stream with more bytes after its second event, as a chunk of their
-// own or with a Content-Length.
-func streamWith(c *engineConn, id, more string, chunked bool) string {
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n", headerAttempt, id, headerSeal, sealOf(c.engine, id))
-	parts := []string{event(id, 1), event(id, 2), more, event(id, 3), event(id, 4)}
-	if !chunked {
-		body := strings.Join(parts, "")
-		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-	}
-	var b strings.Builder
-	b.WriteString(head + "Transfer-Encoding: chunked\r\n\r\n")
-	for _, part := range parts {
-		if part != "" {
-			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(part), part)
-		}
-	}
-	b.WriteString("0\r\n\r\n")
-	return b.String()
-}
-
-// sendStreamWith reads a request and responds with streamWith.
-func (c *engineConn) sendStreamWith(more string, chunked bool) {
-	r, _, err := c.readRequest()
-	if err != nil {
-		return
-	}
-	c.send(streamWith(c, r.Header.Get(headerAttempt), more, chunked))
-}
-
 // TestInvalidResponseIsReported: the log names the engine that sent what it may not, how it did, and what
 // became of the request.
 func TestInvalidResponseIsReported(t *testing.T) {
 	for _, c := range invalidEvents {
 		s := newHarness(t, "reported")
-		s.beginSingle(func(conn *engineConn, _ int) { conn.sendStreamWith(c.bytes, true) })
+		s.beginSingle(func(conn *engineConn, _ int) {
+			r, _, err := conn.readRequest()
+			if err != nil {
+				return
+			}
+			conn.send(streamWithAt(conn.engine, r.Header.Get(headerAttempt), 0, 2, c.bytes, true))
+		})
 		id := s.newID()
 		s.call(onceStream, id, body, longWaitMS)
 		lines := s.proxy.LoggedWith("\"request\"=\"" + id + "\"")
