Pass on only valid events of engines' streams

Cause: the proxy passed on whatever ended with a blank line, and what was left over at the end of a body; class: bytes are trusted because the head before them was checked. An event is now passed on once it is complete and eventstream.Reader finds it valid (UTF-8 fields, one decimal id that rises, data); a success on a streaming route must be one event stream with an event in it. Anything else counts as an attempt that was sent and lost: another engine where that is allowed, else the response is cut; the engine is ejected. It works because nothing reaches the caller before it is parsed, whatever the framing or route.

--- a/internal/app/proxy/admission.go
+++ b/internal/app/proxy/admission.go
@@ -44,7 +44,7 @@
 		return
 	}
 	// Reading the body may have taken long, so the configuration is loaded only now.
-	f := &forwardedRequest{server: s, writer: w, request: r, info: info, view: s.view.Load(), body: body, lastEventID: info.LastEventID}
+	f := &forwardedRequest{server: s, writer: w, request: r, info: info, view: s.view.Load(), body: body}
 	if s.admit(f) {
 		f.prepare(arrived)
 		f.run()
@@ -113,6 +113,9 @@
 		Resumable:  resumable,
 		MaxEngines: max(1, f.route.MaxEngines),
 	}
+	if resumable {
+		f.position = parsePosition(f.info.LastEventID)
+	}
 	tenant := ""
 	if f.tenant != nil {
 		tenant = f.tenant.Name
--- a/internal/app/proxy/engineattempt.go
+++ b/internal/app/proxy/engineattempt.go
@@ -23,7 +23,6 @@
 	resuming      bool // continues a stream that another engine started
 
 	events    int                   // of a stream, passed on to the caller
-	lastID    uint64                // of the last event
 	violation eventstream.Violation // the first one of the response; empty for none
 }
 
--- a/internal/app/proxy/enginerequest.go
+++ b/internal/app/proxy/enginerequest.go
@@ -64,7 +64,7 @@
 		Model:       f.info.Model,
 		Version:     a.choice.Version,
 		Priority:    f.view.table.Priority(f.tenant, f.route),
-		LastEventID: f.lastEventID,
+		LastEventID: f.position.lastEventID(),
 	}
 	if f.tenant != nil {
 		engineRequest.Tenant = f.tenant.Name
--- a/internal/app/proxy/forwarded.go
+++ b/internal/app/proxy/forwarded.go
@@ -17,18 +17,18 @@
 // forwardedRequest is a caller's request while it is being forwarded. Only the goroutine that
 // serves it uses it.
 type forwardedRequest struct {
-	server      *server
-	writer      http.ResponseWriter
-	request     *http.Request
-	info        RequestInfo
-	view        *view // loaded when the whole request had been received
-	route       *route.Route
-	tenant      *route.Tenant // nil on a public route
-	body        []byte
-	deadline    int64 // monotonic microseconds
-	forward     attempt.Forward
-	placement   placement.Request
-	lastEventID string // id of the last event that was sent to the caller
+	server    *server
+	writer    http.ResponseWriter
+	request   *http.Request
+	info      RequestInfo
+	view      *view // loaded when the whole request had been received
+	route     *route.Route
+	tenant    *route.Tenant // nil on a public route
+	body      []byte
+	deadline  int64 // monotonic microseconds
+	forward   attempt.Forward
+	placement placement.Request
+	position  streamPosition // of the caller in a stream
 
 	invalidResponses int // that engines sent
 }
--- a/internal/app/proxy/invalidresponse.go
+++ b/internal/app/proxy/invalidresponse.go
@@ -16,7 +16,7 @@
 	foreignResponse  eventstream.Violation = "foreign-response"  // belongs to another attempt
 	unsealedResponse eventstream.Violation = "unsealed-response" // a success that the engine did not mark as its own, or that it encoded
 	invalidNotRun    eventstream.Violation = "invalid-not-run"   // says that the request did not run, with a status that can't say so
-	notAStream       eventstream.Violation = "not-a-stream"      // continues a stream with something else
+	notAStream       eventstream.Violation = "not-a-stream"      // a success of another type where a stream is due
 )
 
 // What became of a request that got an invalid response.
--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -5,13 +5,13 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"violetthread/attempt"
 	"violetthread/cacheindex"
 	"violetthread/internal/clock"
 	"violetthread/placement"
+	"violetthread/route"
 )
 
 const (
@@ -25,14 +25,17 @@
 
 // relay passes a response on to the caller.
 func (a *engineAttempt) relay(response *http.Response) outcome {
-	stream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") && response.StatusCode == http.StatusOK
+	f := a.forwarded
+	stream := isEventStream(response)
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.StatusCode == http.StatusNoContent
 	switch {
 	case !framed: // without framing, a truncated response would look complete
 		return a.invalidResponse(unframedBody)
 	case stream:
 		return a.relayStream(response)
-	case a.forwarded.forward.HeadSent: // only a stream can continue a stream
+	case f.forward.HeadSent: // only a stream can continue a stream
+		return a.invalidResponse(notAStream)
+	case f.route.Semantics == route.EventStream && response.StatusCode < http.StatusMultipleChoices:
 		return a.invalidResponse(notAStream)
 	}
 	return a.relayNonStream(response)
--- a/internal/app/proxy/stream.go
+++ b/internal/app/proxy/stream.go
@@ -1,85 +1,102 @@
 package proxy
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 
 	"violetthread/internal/eventstream"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
 
-// readEvent reads one event, including the blank line that ends it, and returns its id. At the end
-// of the response it returns the remaining bytes together with io.EOF.
-func readEvent(br *bufio.Reader) (event []byte, id string, err error) {
-	for {
-		line, err := br.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return nil, "", io.ErrUnexpectedEOF
-		}
-		if err == bufio.ErrBufferFull {
-			continue
-		}
-		if err != nil {
-			return event, id, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return event, id, nil
-		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
+// streamPosition is how far the caller has got in a stream; the zero value is the start.
+type streamPosition struct {
+	lastID uint64 // of the last event that the caller has
+	known  bool   // the caller has an event
+}
+
+// parsePosition parses the id of the last event that a caller says it has. The position is the start
+// if the id is not a plain decimal number, which no event can have.
+func parsePosition(id string) streamPosition {
+	lastID, err := strconv.ParseUint(id, 10, 63)
+	if err != nil || strconv.FormatUint(lastID, 10) != id {
+		return streamPosition{}
+	}
+	return streamPosition{lastID: lastID, known: true}
+}
+
+// lastEventID returns the id after which an engine continues the stream; empty at the start.
+func (p streamPosition) lastEventID() string {
+	if !p.known {
+		return ""
 	}
+	return strconv.FormatUint(p.lastID, 10)
 }
 
-// relayStream passes events on as they arrive. The head is sent with the first complete event, so
-// that a stream that breaks before that can still be retried at another engine.
+// passed reports whether the caller already has an event.
+func (p streamPosition) passed(event eventstream.Event) bool {
+	return p.known && event.ID <= p.lastID
+}
+
+// isEventStream reports whether a response is a stream of events.
+func isEventStream(response *http.Response) bool {
+	types := response.Header.Values("Content-Type")
+	if response.StatusCode != http.StatusOK || len(types) != 1 {
+		return false
+	}
+	mediaType, _, err := mime.ParseMediaType(types[0])
+	return err == nil && mediaType == eventStreamType
+}
+
+// relayStream passes events on as they arrive, each once it is complete and valid. The head is sent
+// with the first event, so that a stream that breaks before that can still be retried at another
+// engine.
 func (a *engineAttempt) relayStream(response *http.Response) outcome {
 	if response.ContentLength != 0 && !a.awaitFirstByte() {
 		return a.interrupted(reasonEngineLost)
 	}
 	a.resuming = a.forwarded.forward.HeadSent
-	br := bufio.NewReaderSize(response.Body, 4096)
+	events := eventstream.NewReader(response.Body, a.forwarded.server.adapter.ValidEventField)
 	for {
-		event, id, err := readEvent(br)
-		a.observeEvent(event, err)
-		if err != nil && err != io.EOF {
-			a.reportInvalidBody(err)
-			return a.interrupted(reasonEngineLost)
+		event, err := events.Next()
+		if err != nil {
+			return a.streamEnded(response, err)
 		}
-		if len(event) > 0 || !a.started {
-			a.startStream(response)
+		if a.forwarded.position.passed(event) {
+			continue
 		}
-		if len(event) > 0 && !a.relayEvent(event, id) {
+		a.startStream(response)
+		if !a.relayEvent(event) {
 			return a.interrupted(reasonCallerGone)
 		}
-		if err == io.EOF {
-			return completed
-		}
 	}
 }
 
-// observeEvent reports an event that a stream may not hold. It decides nothing.
-func (a *engineAttempt) observeEvent(event []byte, readErr error) {
-	if readErr != nil && (readErr != io.EOF || len(event) == 0) {
-		return
-	}
-	parsed, err := eventstream.Parse(event, a.forwarded.server.adapter.ValidEventField)
+// streamEnded returns the outcome of a stream whose next event could not be read because of err,
+// which is io.EOF if the engine ended the stream in order.
+func (a *engineAttempt) streamEnded(response *http.Response, err error) outcome {
 	var violation eventstream.Violation
 	switch {
 	case errors.As(err, &violation):
-		a.reportInvalid(violation)
-	case a.events > 0 && parsed.ID <= a.lastID:
-		a.reportInvalid(eventstream.IDNotRising)
+		return a.invalidResponse(violation)
+	case !errors.Is(err, io.EOF):
+		a.reportInvalidBody(err)
+		return a.interrupted(reasonEngineLost)
+	case !a.started && !a.forwarded.mayHaveAllEvents():
+		return a.invalidResponse(eventstream.EmptyStream)
 	}
-	a.lastID = parsed.ID
+	a.startStream(response)
+	return completed
+}
+
+// mayHaveAllEvents reports whether the caller may already have every event of the stream, so that an
+// engine has none to add.
+func (f *forwardedRequest) mayHaveAllEvents() bool {
+	return f.position.known || f.info.LastEventID != ""
 }
 
 // startStream sends the head, unless the stream continues that of another engine. Only the first
@@ -96,33 +113,14 @@
 	a.writeHead(response)
 }
 
-// relayEvent passes one event on, unless the caller already has it; false if the caller is gone.
-func (a *engineAttempt) relayEvent(event []byte, id string) bool {
+// relayEvent passes one event on; false if the caller is gone.
+func (a *engineAttempt) relayEvent(event eventstream.Event) bool {
 	f := a.forwarded
-	if !a.isNewEvent(id) {
-		return true
-	}
-	if _, err := f.writer.Write(event); err != nil {
+	if _, err := f.writer.Write(event.Raw); err != nil {
 		return false
 	}
 	_ = http.NewResponseController(f.writer).Flush()
+	f.position = streamPosition{lastID: event.ID, known: true}
 	a.events++
-	switch {
-	case id != "":
-		f.lastEventID = id
-	case len(bytes.TrimSpace(event)) > 0 && event[0] != ':':
-		f.forward.Resumable = false // without an id there is no position to resume from
-	}
 	return true
 }
-
-// isNewEvent reports whether an event must be passed on: after a resumption it filters out events
-// that the caller already has. Events of the first engine are never filtered.
-func (a *engineAttempt) isNewEvent(id string) bool {
-	if !a.resuming || id == "" || a.forwarded.lastEventID == "" {
-		return true
-	}
-	this, err1 := strconv.ParseInt(id, 10, 64)
-	last, err2 := strconv.ParseInt(a.forwarded.lastEventID, 10, 64)
-	return err1 != nil || err2 != nil || this > last
-}
