Close a connection on which a request was written only in part

Cause: an engine's rejection ended an attempt whose write had run into its deadline, and its connection went back to the pool. Such a connection is reset now.

--- a/internal/app/proxy/engineattempt.go
+++ b/internal/app/proxy/engineattempt.go
@@ -105,7 +105,11 @@
 	a.reportLoad(info)
 	switch {
 	case info.NotRun: // an engine may reject a request before it has read all of it
-		return a.notRun(response)
+		end, response = a.notRun(response)
+		if writeErr != nil {
+			response = nil // the engine still expects the rest of the request on this connection
+		}
+		return end, response
 	case writeErr != nil:
 		return a.interrupted(reasonEngineLost), nil
 	}
--- a/internal/app/proxy/versionwait_test.go
+++ b/internal/app/proxy/versionwait_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -187,3 +189,42 @@
 		t.Errorf("the engine runs the newest version, and the caller got %+v", a)
 	}
 }
+
+// TestPartlyWrittenRequestIsNotFollowedByAnother: an engine rejects a long request before it has read it,
+// keeps the connection and reads on later. If the proxy gave up writing meanwhile, it has closed the
+// connection: another request would arrive where the rest of the body is due.
+func TestPartlyWrittenRequestIsNotFollowedByAnother(t *testing.T) {
+	t.Parallel()
+	const (
+		bodyBytes     = 8 << 20
+		receiveBuffer = 16 << 10 // so that the body is not written to its end
+	)
+	s := newHarness(t, "partly")
+	s.onVersions(false, time.Now().Add(-announcedAge))
+	answered, kept := make(chan struct{}), make(chan bool, 1)
+	s.engines.setScript(func(c *engineConn, _ int) {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(receiveBuffer)
+		}
+		head, err := c.readHead()
+		if err != nil {
+			return
+		}
+		c.stopped = true
+		c.send(withHead("503 Full", head.Get(headerAttempt), "", headerSkipped+": 1"))
+		await(answered)
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err = io.Copy(io.Discard, c.br)
+		kept <- errors.Is(err, os.ErrDeadlineExceeded)
+	})
+	c := s.dial()
+	defer resetConn(c.Conn)
+	_, _ = io.WriteString(c, strings.Replace(request(onceOnly, s.newID(), strings.Repeat("x", bodyBytes), longWaitMS), "\r\n", "\r\n"+headerModel+": "+testModel+"\r\n", 1))
+	if a := c.read(); a.readErr != nil || a.status != http.StatusServiceUnavailable {
+		t.Errorf("%+v", a)
+	}
+	close(answered)
+	if <-kept {
+		t.Error("the connection is still open, with a part of the request on it")
+	}
+}
