--- a/internal/app/proxy/garbage_test.go
+++ b/internal/app/proxy/garbage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -220,3 +221,67 @@
 		t.Errorf("the engine that sends garbage got %d of %d requests", n, calls)
 	}
 }
+
+// garbagePlaces returns the offsets of a response at which garbage can be told from it: the ends of its
+// lines, but for those within an event.
+func garbagePlaces(response string) (places []int) {
+	inEvent := false
+	for offset := 0; offset < len(response); {
+		end := offset + strings.IndexByte(response[offset:], '\n') + 1
+		line := response[offset:end]
+		inEvent = strings.HasPrefix(line, "id: ") || inEvent && line != "\n"
+		if offset = end; !inEvent {
+			places = append(places, offset)
+		}
+	}
+	return places
+}
+
+// randomGarbage returns bytes that consist of what delimits heads, chunks and events.
+func randomGarbage(random *rand.Rand) string {
+	const alphabet = "\r\n\r\n\n:: 0123idata\x00\xff"
+	garbage := make([]byte, 1+random.IntN(24))
+	for i := range garbage {
+		garbage[i] = alphabet[random.IntN(len(alphabet))]
+	}
+	return string(garbage)
+}
+
+// TestRandomGarbageAtEveryPlaceOfAStream: random bytes in the head, in the framing, between events and after
+// the end, on new and pooled connections, never reach a caller, neither the stream's own nor the next one.
+func TestRandomGarbageAtEveryPlaceOfAStream(t *testing.T) {
+	const perPlace = 12
+	random := rand.New(rand.NewPCG(1, 34))
+	var cases []testCase
+	for _, kind := range streamKinds {
+		for _, place := range garbagePlaces(responseTo(kind, 0, "s00-000000", 0)) {
+			for i := range perPlace {
+				garbage := randomGarbage(random)
+				cases = append(cases, testCase{fmt.Sprintf("%s, %q at %d", kind, garbage, place), func(s *harness) error {
+					return s.garbageAt(kind, place, garbage, i%2 == 0)
+				}})
+			}
+		}
+	}
+	runCases(t, 16, cases)
+}
+
+func (s *harness) garbageAt(kind string, place int, garbage string, pooled bool) error {
+	err := s.exchange(kind, pooled, stalledWaitMS, func(c *engineConn) {
+		r, _, err := c.readRequest()
+		if err != nil {
+			return
+		}
+		whole := responseTo(kind, c.engine, r.Header.Get(headerAttempt), 0)
+		c.send(whole[:place] + garbage + whole[place:])
+	})
+	if err != nil {
+		return err
+	}
+	s.engines.setScript(completeResponses(onceOnly))
+	id := s.newID()
+	if a := s.call(onceOnly, id, body, longWaitMS); !a.complete(onceOnly, id) && !promisesNotRun(a.status) {
+		return fmt.Errorf("the next caller got %+v", a)
+	}
+	return nil
+}
