--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -25,14 +26,27 @@
 	"violetthread/wal"
 )
 
-// freeAddrs returns n loopback addresses whose ports were free when it returned. Another process
-// may still take one before it is used.
+// processIP returns a loopback IP that only this process listens on. The kernel takes the ports of other
+// processes' outgoing connections from those of 127.0.0.1. Machines with a single loopback IP return that.
+func processIP() string {
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 192+pid%60, pid/60%256, 1+pid/60/256%250)
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "127.0.0.1"
+	}
+	_ = listener.Close()
+	return ip
+}
+
+// freeAddrs returns n addresses of processIP whose ports are free.
 func freeAddrs(t *testing.T, n int) []string {
 	t.Helper()
+	ip := processIP()
 	var listeners []net.Listener
 	var addrs []string
 	for i := 0; i < n; i++ {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -168,6 +182,19 @@
 	}
 }
 
+// votersSettled reports whether every control node knows all of them as voters, with no change of the voter
+// set under way.
+func (fleet *testFleet) votersSettled() bool {
+	for _, addr := range fleet.controls {
+		_, text := fleet.get(addr + "/v1/fleet")
+		var status control.FleetStatus
+		if json.Unmarshal([]byte(text), &status) != nil || len(status.Voters) != len(fleet.controls) || !status.ChangeAllowed {
+			return false
+		}
+	}
+	return true
+}
+
 // get returns the status and body of a GET, or status 0 and the error.
 func (fleet *testFleet) get(url string) (int, string) {
 	response, err := http.Get("http://" + url)
