--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -53,7 +53,7 @@
 		}
 	})
 	// While a node joins, the slots elect their leaders again, and a change may end with an unknown outcome.
-	fleet.waitUntil("all control nodes vote", fleet.votersSettled)
+	fleet.waitUntil("all control nodes vote", fleet.votersComplete)
 	t.Run("concurrent operators", func(t *testing.T) {
 		done := make(chan int, 8)
 		group := taskgroup.New(fleet.daemons["platform"].Group.Context(), fleet.daemons["platform"].Log)
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -182,9 +182,9 @@
 	}
 }
 
-// votersSettled reports whether every control node knows all of them as voters, with no change of the voter
+// votersComplete reports whether every control node knows all of them as voters, with no change of the voter
 // set under way.
-func (fleet *testFleet) votersSettled() bool {
+func (fleet *testFleet) votersComplete() bool {
 	for _, addr := range fleet.controls {
 		_, text := fleet.get(addr + "/v1/fleet")
 		var status control.FleetStatus
