--- a/internal/app/proxy/garbage_test.go
+++ b/internal/app/proxy/garbage_test.go
@@ -58,8 +58,7 @@
 	return garbage
 }
 
-// TestGarbageInAStreamIsNotPassedOn: an engine puts bytes that are no event into its stream, with intact
-// framing. The caller gets nothing of them, and no stream that looks complete without being so.
+// TestGarbageInAStreamIsNotPassedOn: nor does a stream that holds it look complete; its framing is intact.
 func TestGarbageInAStreamIsNotPassedOn(t *testing.T) {
 	var cases []testCase
 	for _, kind := range streamKinds {
@@ -119,8 +118,7 @@
 	return s.check(resumable, id, a)
 }
 
-// TestStreamThatEndsWithinAnEventIsNotComplete: an engine ends its response in order, in the middle of an
-// event.
+// TestStreamThatEndsWithinAnEventIsNotComplete: the engine ends its response in order, within an event.
 func TestStreamThatEndsWithinAnEventIsNotComplete(t *testing.T) {
 	var cases []testCase
 	for _, kind := range streamKinds {
@@ -148,8 +146,7 @@
 	runCases(t, 16, cases)
 }
 
-// TestStreamingRoutePassesOnEventStreamsOnly: a success on a streaming route that is no event stream, or
-// that hides its type, is not passed on.
+// TestStreamingRoutePassesOnEventStreamsOnly: a success of another or of a hidden type is not passed on.
 func TestStreamingRoutePassesOnEventStreamsOnly(t *testing.T) {
 	var cases []testCase
 	for _, kind := range streamKinds {
@@ -192,8 +189,7 @@
 	}
 }
 
-// TestEngineThatSendsGarbageIsEjected: an engine that puts garbage into its streams gets few of the requests
-// while another one does not, and no caller notices.
+// TestEngineThatSendsGarbageIsEjected: it gets few requests while another engine is sound.
 func TestEngineThatSendsGarbageIsEjected(t *testing.T) {
 	const calls = 60
 	s := newHarness(t, "ejected")
@@ -247,8 +243,7 @@
 	return string(garbage)
 }
 
-// TestRandomGarbageAtEveryPlaceOfAStream: random bytes in the head, in the framing, between events and after
-// the end, on new and pooled connections, never reach a caller, neither the stream's own nor the next one.
+// TestRandomGarbageAtEveryPlaceOfAStream: neither the stream's own caller nor the next one gets any of it.
 func TestRandomGarbageAtEveryPlaceOfAStream(t *testing.T) {
 	const perPlace = 12
 	random := rand.New(rand.NewPCG(1, 34))
--- a/internal/app/proxy/versionwait_test.go
+++ b/internal/app/proxy/versionwait_test.go
@@ -190,9 +190,7 @@
 	}
 }
 
-// TestPartlyWrittenRequestIsNotFollowedByAnother: an engine rejects a long request before it has read it,
-// keeps the connection and reads on later. If the proxy gave up writing meanwhile, it has closed the
-// connection: another request would arrive where the rest of the body is due.
+// TestPartlyWrittenRequestIsNotFollowedByAnother: the engine still reads the rest of the body where it comes.
 func TestPartlyWrittenRequestIsNotFollowedByAnother(t *testing.T) {
 	t.Parallel()
 	const (
