Bound connections and heads at every HTTP port and between nodes

What callers saw: a crowd of connections at a port for operators, readiness or other nodes used up the process's descriptors, so that nobody was answered; heads of very many short fields took 190 to 220 MB of a machine's 160 with 400 connections. Cause: the number of connections had no bound, and a head's memory is a multiple of its length. Change: the HTTP port of every daemon and every port for traffic between nodes listen through package limits, each with a share of the machine. A scrape of metrics is accounted too. Why it works: the port closes the connection that has waited the longest before it opens one more, and a head is reserved by its fields before it is parsed.

--- a/internal/app/agent/server.go
+++ b/internal/app/agent/server.go
@@ -12,6 +12,7 @@
 	"violetthread/internal/app/session"
 	"violetthread/internal/clock"
 	"violetthread/internal/daemon"
+	"violetthread/internal/limits"
 	"violetthread/internal/taskgroup"
 	"violetthread/internal/transport"
 	"violetthread/membership"
@@ -70,7 +71,8 @@
 	}
 	s.proxyNode.Store(&fb.NodeT{Name: settings.Name, Role: membership.RoleGateway, Zone: settings.Zone, Addr: settings.TransportAddr})
 	s.session = session.New(process.Group, s.peers, settings.Seeds, s.proxyNode.Load)
-	listener, err := net.Listen("tcp", settings.TransportAddr)
+	process.Machine = settings.Machine()
+	listener, err := limits.Listen(settings.TransportAddr, process.NewPort(transport.PortName, 1-process.HTTPFraction))
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't listen on %s; set --wire to a free loopback IP:port", settings.TransportAddr)
 	}
--- a/internal/app/control/node.go
+++ b/internal/app/control/node.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
 	"violetthread/internal/daemon"
+	"violetthread/internal/limits"
 	"violetthread/internal/taskgroup"
 	"violetthread/internal/transport"
 	"violetthread/membership"
@@ -106,7 +106,8 @@
 	n.status.Store(&voterStatus{})
 	n.plan.Store(&plan.Cached{})
 	n.initStorage()
-	listener, err := net.Listen("tcp", settings.TransportAddr)
+	process.Machine = settings.Machine()
+	listener, err := limits.Listen(settings.TransportAddr, process.NewPort(transport.PortName, 1-process.HTTPFraction))
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't listen on %s; free that port or configure another address for this node (internal-port-range; --wire of violetthread-control)", settings.TransportAddr)
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -91,6 +91,7 @@
 // NewDaemon creates the daemon of a gateway and starts its loops. The caller runs it with Run.
 func NewDaemon(settings Settings) (*daemon.Daemon, error) {
 	d := daemon.New("violetthread-gateway", settings.Name, settings.HTTPAddr, settings.DrainUS)
+	d.Machine, d.HTTPFraction = settings.Machine(), 1
 	debug.SetGCPercent(gcPercent)
 	if err := d.ProfileCPU(settings.CPUProfile); err != nil {
 		return nil, err
--- a/internal/app/indexnode/node.go
+++ b/internal/app/indexnode/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 
 	"github.com/gravitational/trace"
@@ -15,6 +14,7 @@
 	"violetthread/internal/codec"
 	"violetthread/internal/daemon"
 	"violetthread/internal/engineapi"
+	"violetthread/internal/limits"
 	"violetthread/internal/taskgroup"
 	"violetthread/internal/transport"
 	"violetthread/membership"
@@ -86,7 +86,8 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", settings.TransportAddr)
+	d.Machine = settings.Machine()
+	listener, err := limits.Listen(settings.TransportAddr, d.NewPort(transport.PortName, 1-d.HTTPFraction))
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "can't listen on %s; set --wire to a free IP:port of this machine", settings.TransportAddr)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,9 +13,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"violetthread/internal/clock"
+	"violetthread/internal/limits"
 	"violetthread/internal/taskgroup"
 )
 
+// defaultHTTPFraction leaves as much to a process's other port.
+const defaultHTTPFraction = 0.5
+
 // httpStopTimeout bounds the wait for open HTTP requests after draining.
 const httpStopTimeout = 2 * time.Second
 
@@ -27,6 +31,12 @@
 	Log     logr.Logger          // see NewLogger
 	Metrics *prometheus.Registry // served at /metrics
 
+	// Machine is what the process may use; what it leaves out is detected. HTTPFraction is the share of
+	// it that the peers of the HTTP port may use. Both may be changed before Run.
+	Machine      limits.Machine
+	HTTPFraction float64
+
+	addr         string
 	server       *khttp.Server
 	app          atomic.Pointer[kratos.App] // nil before Run
 	notReady     atomic.Pointer[string]     // reason; nil when ready
@@ -45,6 +55,8 @@
 		Name:         name,
 		Log:          NewLogger(program, name),
 		Metrics:      prometheus.NewRegistry(),
+		HTTPFraction: defaultHTTPFraction,
+		addr:         addr,
 		server:       newServer(addr),
 		drainTimeout: clock.Duration(drainUS),
 	}
@@ -90,7 +102,9 @@
 	d.Log.Info("started", "version", Version)
 	var err error
 	if d.Failure() == nil {
-		err = app.Run()
+		if err = d.listen(); err == nil {
+			err = app.Run()
+		}
 	}
 	d.Group.Stop()
 	for _, stop := range d.stops {
@@ -103,6 +117,24 @@
 	return err
 }
 
+// NewPort returns the share of a listening port in what the process's machine has, and registers its
+// metrics.
+func (d *Daemon) NewPort(name string, fraction float64) *limits.Port {
+	port := d.Machine.OrDetected().NewPort(name, fraction, d.Log)
+	d.Metrics.MustRegister(port)
+	return port
+}
+
+// listen opens the HTTP port.
+func (d *Daemon) listen() error {
+	listener, err := limits.Listen(d.addr, d.NewPort(portHTTP, d.HTTPFraction))
+	if err != nil {
+		return err
+	}
+	khttp.Listener(listener)(d.server)
+	return nil
+}
+
 // drain makes the process not ready and finishes running work within the drain time. The
 // error is always nil.
 func (d *Daemon) drain(context.Context) error {
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -7,12 +7,22 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"violetthread/internal/limits"
 )
 
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 90 * time.Second
 	maxHeaderBytes    = 32 << 10
+
+	// portHTTP names the HTTP port in logs and metrics.
+	portHTTP = "http"
+
+	// overloadRetryAfter is what a caller is told when the HTTP port is at its bounds, in seconds.
+	overloadRetryAfter = "0.300"
+
+	scrapeBytes = 512 << 10 // that a request for metrics takes
 )
 
 // ErrorResponse is the body of an HTTP error response.
@@ -35,6 +45,9 @@
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
 	server.MaxHeaderBytes = maxHeaderBytes
+	server.ConnContext = limits.WithConn
+	server.ConnState = limits.TrackState
+	server.Handler = limits.Handler(server.Handler, http.HandlerFunc(RejectOverloaded))
 	return server
 }
 
@@ -59,7 +72,20 @@
 		}
 		WriteJSON(w, http.StatusOK, map[string]string{"ready": "yes"})
 	})
-	d.Handle("/metrics", promhttp.HandlerFor(d.Metrics, promhttp.HandlerOpts{}).ServeHTTP)
+	scrape := promhttp.HandlerFor(d.Metrics, promhttp.HandlerOpts{})
+	d.Handle("/metrics", func(w http.ResponseWriter, r *http.Request) {
+		if !limits.ConnOf(r.Context()).Reserve(scrapeBytes) {
+			RejectOverloaded(w, r)
+			return
+		}
+		scrape.ServeHTTP(w, r)
+	})
+}
+
+// RejectOverloaded responds that a request was not handled, since the process can't hold more.
+func RejectOverloaded(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", overloadRetryAfter)
+	WriteJSON(w, http.StatusServiceUnavailable, ErrorResponse{"overloaded", "come back shortly; this process holds as much as its memory allows"})
 }
 
 // WriteJSON writes a response with v as its JSON body.
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+
+	"violetthread/internal/limits"
 )
 
 // Version is what --version prints.
@@ -32,10 +34,21 @@
 	DataDir string `json:"data_dir" help:"folder for this node's files"`
 	// CPUProfile is a file for a CPU profile of the whole run; empty for none.
 	CPUProfile string `json:"cpu_profile" help:"file to write a processor profile to, until the process stops"`
+	// MemoryBytes is the memory that the process may use. What its peers can make it hold is bounded by
+	// shares of it. 0, the default, is the machine's memory, or what GOMEMLIMIT is 60% of.
+	MemoryBytes int64 `json:"memory_bytes" validate:"min=0" help:"memory that the process may use, which bounds what its peers can make it hold; 0 for that of the machine"`
+	// Descriptors is the number of files and connections that the process may have open. 0, the
+	// default, is its limit of open files.
+	Descriptors int `json:"descriptors" validate:"min=0" help:"files and connections that the process may have open; 0 for its limit of open files"`
 	// DrainUS bounds how long a graceful stop waits for running work, in microseconds.
 	DrainUS int64 `json:"drain_us" validate:"min=0,max=120000000" help:"longest wait for running work on a graceful stop"`
 }
 
+// Machine returns what the process may use, according to its settings.
+func (s NodeSettings) Machine() limits.Machine {
+	return limits.Machine{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors}
+}
+
 // RecordingSettings are the settings of a daemon that can record the inputs and outputs of its
 // decision logic.
 type RecordingSettings struct {
