--- a/internal/codec/frame.go
+++ b/internal/codec/frame.go
@@ -16,9 +16,9 @@
 const MaxFrameBytes = 32 << 20
 
 const (
-	headerBytes      = 8        // length and checksum
-	builderBytes     = 512      // initial size of a frame's builder
-	initialBodyBytes = 64 << 10 // allocated for a body before any of it has arrived
+	headerBytes      = 8       // length and checksum
+	builderBytes     = 512     // initial size of a frame's builder
+	initialBodyBytes = 8 << 10 // allocated for a body before any of it has arrived
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -46,6 +46,12 @@
 // io.ErrUnexpectedEOF if it ends within the frame. Other errors are those of the reader,
 // *FrameSizeError and *FormatError.
 func ReadFrame(r io.Reader) (*fb.FrameT, error) {
+	return ReadFrameReserving(r, func(int) error { return nil })
+}
+
+// ReadFrameReserving is ReadFrame, but calls reserve before it allocates more than initialBodyBytes for
+// the body, and fails with the error of reserve.
+func ReadFrameReserving(r io.Reader, reserve func(bytes int) error) (*fb.FrameT, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
@@ -54,7 +60,7 @@
 	if size > MaxFrameBytes {
 		return nil, &FrameSizeError{Bytes: size}
 	}
-	body, err := readBody(r, int(size))
+	body, err := readBody(r, int(size), reserve)
 	if err != nil {
 		return nil, err
 	}
@@ -66,10 +72,15 @@
 
 // readBody reads size bytes. The buffer starts with at most initialBodyBytes and about doubles
 // each time it is full, so that a false declared size can't cause a large allocation.
-func readBody(r io.Reader, size int) ([]byte, error) {
+func readBody(r io.Reader, size int, reserve func(bytes int) error) ([]byte, error) {
 	body := make([]byte, 0, min(size, initialBodyBytes))
 	for len(body) < size {
-		body = slices.Grow(body, min(size-len(body), max(len(body), initialBodyBytes)))
+		if more := min(size-len(body), max(len(body), initialBodyBytes)); more > cap(body)-len(body) {
+			if err := reserve(more); err != nil {
+				return nil, err
+			}
+			body = slices.Grow(body, more)
+		}
 		start := len(body)
 		body = body[:min(size, cap(body))]
 		if _, err := io.ReadFull(r, body[start:]); err != nil {
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -34,7 +34,7 @@
 // read passes each response to the pending request with the same reference number, until
 // the connection fails. Duplicate responses, and those to no pending request, are dropped.
 func (c *connection) read(conn net.Conn) {
-	reader := newReader(conn)
+	reader := newReader(conn, dialedBufferBytes)
 	for {
 		frame, err := codec.ReadFrame(reader)
 		if err != nil {
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -90,7 +90,7 @@
 func (p *Peer) Send(message *fb.FrameT) {
 	c, err := p.connection()
 	if err == nil {
-		taskgroup.TrySend(c.writeQueue, queuedFrame{codec.Encode(message), c.ctx})
+		taskgroup.TrySend(c.writeQueue, queuedFrame{frame: codec.Encode(message), ctx: c.ctx})
 	}
 }
 
@@ -109,7 +109,7 @@
 	ref, sentAt := p.nextRef(), clock.Now()
 	responses := c.addPending(ref)
 	defer c.takePending(ref)
-	if taskgroup.Send(ctx, c.writeQueue, queuedFrame{encodeWithRef(request, ref), ctx}) {
+	if taskgroup.Send(ctx, c.writeQueue, queuedFrame{frame: encodeWithRef(request, ref), ctx: ctx}) {
 		if response, ok := taskgroup.Receive(ctx, responses); ok {
 			return checkResponse(response)
 		}
