gateway: reserve the memory of bodies before they are read

What was seen: 100 bodies of 4 MiB, one byte short, took 598 MB of a machine's 160. Cause: each body was bounded, the sum was not. Change: bodies are read with limits.ReadBody, which reserves them with the copies that are made. What does not fit is refused with 503 overloaded and retry_after; it has not run.

--- a/internal/app/gateway/requests.go
+++ b/internal/app/gateway/requests.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -16,11 +15,17 @@
 	"violetthread/internal/callerapi"
 	"violetthread/internal/clock"
 	"violetthread/internal/daemon"
+	"violetthread/internal/limits"
 )
 
 const (
 	maxBodyBytes = 4 << 20
 	maxIDBytes   = 128
+	// requestCopies is how often the content of a request is held: as it was received, decoded, and
+	// encoded for an engine.
+	requestCopies = 4
+	// plainCopies is how often the body of a plain call is held.
+	plainCopies = 2
 	// writeGraceUS is how long after the deadline of a request its response may still be
 	// written to a slow caller, in microseconds.
 	writeGraceUS = 2_000_000
@@ -125,12 +130,18 @@
 	return "t-" + hex.EncodeToString(b)
 }
 
+// overloaded rejects a request that this process has no memory for.
+var overloaded = rejection{http.StatusServiceUnavailable, callerapi.ReasonOverloaded, transientRetryAfterUS}
+
 // readRequest reads the body of a request, checks it against the plan, and sets the default
 // deadline if the caller gave none.
 func (g *gateway) readRequest(w http.ResponseWriter, r *http.Request, from caller) (callerapi.Request, *rejection) {
 	var request callerapi.Request
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
+	body, err := limits.ReadBody(w, r, maxBodyBytes, requestCopies)
+	switch {
+	case errors.Is(err, limits.ErrOverloaded):
+		return request, &overloaded
+	case err != nil:
 		return request, &rejection{http.StatusRequestEntityTooLarge, callerapi.ReasonTooLarge, 0}
 	}
 	request, err = callerapi.DecodeRequest(body)
--- a/internal/app/gateway/routes.go
+++ b/internal/app/gateway/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 	"violetthread/internal/callerapi"
 	"violetthread/internal/clock"
 	"violetthread/internal/daemon"
+	"violetthread/internal/limits"
 	"violetthread/plan"
 )
 
@@ -41,7 +43,11 @@
 	}
 	g.plainCalls.Add(1)
 	defer g.plainCalls.Add(-1)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := limits.ReadBody(w, r, maxBodyBytes, plainCopies)
+	if errors.Is(err, limits.ErrOverloaded) {
+		g.reject(w, overloaded)
+		return
+	}
 	if err != nil {
 		g.reject(w, rejection{http.StatusRequestEntityTooLarge, callerapi.ReasonTooLarge, 0})
 		return
--- a/internal/callerapi/reasons.go
+++ b/internal/callerapi/reasons.go
@@ -32,6 +32,7 @@
 	ReasonEngineMalformed    = "engine-malformed"
 	ReasonBackendLost        = "backend-lost"
 	ReasonBackendUnreachable = "backend-unreachable"
+	ReasonOverloaded         = "overloaded"
 )
 
 // remedies tell the caller what to do, by reason.
@@ -54,6 +55,7 @@
 	ReasonNoEngine:           "no engine has capacity for this proxy at the moment; retry after retry_after_us",
 	ReasonPlanNotFresh:       "this proxy can't confirm that its plan is current; use another proxy, or retry after retry_after_us",
 	ReasonStopping:           "this proxy is shutting down; use another proxy",
+	ReasonOverloaded:         "this proxy holds as much as its memory allows; the request has not run, retry after retry_after_us",
 	ReasonClaimUnavailable:   "the control nodes did not respond; the request has not run, send it again",
 	ReasonDuplicate:          "a request with this id was accepted before; check what that one did, or send this one with a new id",
 	ReasonGenerationMissing:  "an id of a once-only kind needs an era: for a new id the one in this response, for a resend the one it was first sent with",
