--- a/internal/app/control/api_plan.go
+++ b/internal/app/control/api_plan.go
@@ -3,12 +3,12 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"violetthread/internal/daemon"
+	"violetthread/internal/limits"
 	"violetthread/plan"
 	"violetthread/quorum"
 	"violetthread/schema/fb"
@@ -84,9 +84,16 @@
 	writeError(w, http.StatusConflict, "too-busy", "many operators are changing the plan at the same time; send the patch again")
 }
 
+// planCopies is how often a plan's text is held while it is parsed and committed.
+const planCopies = 4
+
 // readPlanChange reads an operator's request. If ok is false, an error response was written.
 func readPlanChange(w http.ResponseWriter, r *http.Request) (change plan.Change, ok bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, plan.MaxBytes+1))
+	body, err := limits.ReadBody(w, r, plan.MaxBytes+1, planCopies)
+	if errors.Is(err, limits.ErrOverloaded) {
+		daemon.RejectOverloaded(w, r)
+		return change, false
+	}
 	if err != nil {
 		writeError(w, http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("keep the plan within %d bytes", plan.MaxBytes))
 		return change, false
