proxy: bound what callers can make it hold with requests

What callers saw: 100 bodies of 4 MiB one byte short of their end took 594 MB of a machine's 160, as many that waited for an engine 542, in chunks 183 to 623; bodies over the limit 471 to 636; heads 280 to 321; bytes behind a request in service 306 MB in the kernel; 2,200 connections left none for ordinary callers. Bodies for no route and without a key were held like all others. Cause: body, head and connection were each bounded, their sum was not; a body was held twice while it was sent; the kernel's buffers grew as clients liked. Change: the port for callers listens through package limits. Bodies are read into blocks that are reserved first, and are not copied to be sent. Before a long body is held, route and key are checked; one that would be refused is read and dropped, and one that is announced too long is refused at once. A request in service is accounted to its tenant, which can have at most half of the port's bytes; what does not fit is answered 503 with reason overloaded and Retry-After. Idle connections to engines have a bound for all engines together.

--- a/internal/app/proxy/admission.go
+++ b/internal/app/proxy/admission.go
@@ -1,11 +1,8 @@
 package proxy
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"violetthread/attempt"
 	"violetthread/internal/clock"
@@ -15,9 +12,13 @@
 )
 
 const (
-	bodyReadTimeoutUS = 15_000_000 // longest time to receive a request body
-	defaultBodyBytes  = 16 << 20   // limit if the configuration sets none
-	defaultTimeoutUS  = 30_000_000 // if neither the caller nor the route sets one
+	defaultTimeoutUS = 30_000_000 // if neither the caller nor the route sets one
+
+	// forwardBytes is what forwarding a request takes beside its body: goroutines, and the buffers of the
+	// connection to the engine.
+	forwardBytes = 64 << 10
+	// forwardLongBytes is what forwarding a long body takes more: the kernel's send buffer.
+	forwardLongBytes = 2 * engineSendBytes
 )
 
 // serveRequest handles one request of a caller: it reads the body, finds the route and the tenant,
@@ -25,6 +26,8 @@
 func (s *server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	arrived := clock.Now()
 	s.counts.arrived.Add(1)
+	conn := limitedConnOf(r.Context())
+	conn.HeadReceived()
 	if s.view.Load().table == nil { // not expected: the port opens only once a configuration is known
 		s.respondError(w, http.StatusServiceUnavailable, reasonConfigMissing, backoffConfigMissingUS)
 		return
@@ -39,66 +42,83 @@
 		s.respondError(w, http.StatusBadRequest, reasonMalformed, 0)
 		return
 	}
-	body, ok := s.readBody(w, r)
-	if !ok {
+	f := &forwardedRequest{server: s, writer: w, request: r, conn: conn, info: info, view: s.view.Load()}
+	var ok bool
+	if f.body, ok = s.readBody(f); !ok {
 		return
 	}
-	// Reading the body may have taken long, so the configuration is loaded only now.
-	f := &forwardedRequest{server: s, writer: w, request: r, info: info, view: s.view.Load(), body: body}
+	f.view = s.view.Load() // reading the body may have taken long
 	if s.admit(f) {
 		f.prepare(arrived)
 		f.run()
 	}
 }
 
-// readBody reads the whole request body. If it returns false, it has already responded.
-func (s *server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, ok bool) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(clock.Duration(bodyReadTimeoutUS)))
-	limit := s.view.Load().table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		s.respondError(w, http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
-		return nil, false
-	case err != nil:
-		panic(http.ErrAbortHandler) // the body is incomplete: nothing to respond to
-	}
-	_ = control.SetReadDeadline(noDeadline)
-	return body, true
+// rejection says why a request is not forwarded; the zero value is none.
+type rejection struct {
+	status    int
+	reason    string
+	backoffUS int64
 }
 
-// admit finds a request's route and tenant. If it returns false, it has already responded.
-func (s *server) admit(f *forwardedRequest) bool {
+// findRejection finds a request's route and tenant in f.view, or why it can't be forwarded.
+func (s *server) findRejection(f *forwardedRequest) rejection {
 	table := f.view.table
 	path, _, _ := strings.Cut(f.request.RequestURI, "?")
 	f.route = table.Match(f.request.Host, path)
-	status, reason := 0, ""
+	var found rejection
 	switch {
 	case f.route == nil:
-		status, reason = http.StatusNotFound, reasonNoRoute
+		found = rejection{status: http.StatusNotFound, reason: reasonNoRoute}
 	case table.RequiresKeys() && !f.route.Public:
 		if f.tenant = table.TenantByKey(f.info.Key); f.tenant == nil {
-			status, reason = http.StatusUnauthorized, reasonKeyUnknown
+			found = rejection{status: http.StatusUnauthorized, reason: reasonKeyUnknown}
 		}
 	}
 	age := f.view.age(clock.Now())
 	// Callers take 401 and 404 as final, so these need a configuration that is at most half as old
 	// as the time within which a change must be in force.
-	tooOld := age > s.maxConfigAgeUS() || reason != "" && age > s.settings.Bounds.ConfigApplyUS/2
-	switch {
-	case tooOld:
+	if age > s.maxConfigAgeUS() || found.reason != "" && age > s.settings.Bounds.ConfigApplyUS/2 {
+		return rejection{http.StatusServiceUnavailable, reasonConfigNotFresh, backoffConfigNotFreshUS}
+	}
+	return found
+}
+
+// admit finds a request's route and tenant, and reserves the memory for forwarding it. If it returns
+// false, it has already responded.
+func (s *server) admit(f *forwardedRequest) bool {
+	found := s.findRejection(f)
+	if found.reason == "" && !f.hold() {
+		found = rejection{http.StatusServiceUnavailable, reasonOverloaded, backoffOverloadedUS}
+	}
+	if found.reason == "" {
+		return true
+	}
+	if found.status == http.StatusServiceUnavailable {
 		s.counts.rejected.Add(1)
-		s.respondError(f.writer, http.StatusServiceUnavailable, reasonConfigNotFresh, backoffConfigNotFreshUS)
-		return false
-	case reason != "":
-		s.respondError(f.writer, status, reason, 0)
+	}
+	s.respondError(f.writer, found.status, found.reason, found.backoffUS)
+	return false
+}
+
+// hold reserves the memory for forwarding a request whose body has been read. It returns false if there
+// is none.
+func (f *forwardedRequest) hold() bool {
+	tenant := ""
+	if f.tenant != nil {
+		tenant = f.tenant.Name
+	}
+	size := int64(forwardBytes)
+	if f.body.isLong() {
+		size += forwardLongBytes
+	}
+	if f.body.discarded || !f.conn.Reserve(size) || !f.conn.EnterGroup(tenant) {
 		return false
 	}
+	if !f.conn.Serving() {
+		panic(http.ErrAbortHandler) // the connection was closed meanwhile
+	}
+	f.conn.Prove()
 	return true
 }
 
--- a/internal/app/proxy/callerconn.go
+++ b/internal/app/proxy/callerconn.go
@@ -5,12 +5,15 @@
 	"net"
 	"sync"
 	"time"
+
+	"violetthread/internal/limits"
 )
 
 // callerConn is a caller's connection. Its reads return the bytes of one request at a time:
 // pipelined bytes beyond the end of a request are buffered until the next request is read.
 type callerConn struct {
 	net.Conn
+	limited  *limits.Conn // the same connection; nil if it is not accounted to a port
 	mu       sync.Mutex
 	requests splitter
 	pending  []byte // received beyond the end of the current request
@@ -31,7 +34,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, idle: idleState{limit: l.idleLimit}}, nil
+	limited, _ := c.(*limits.Conn)
+	return &callerConn{Conn: c, limited: limited, idle: idleState{limit: l.idleLimit}}, nil
 }
 
 // withCallerConn and callerConnOf store and load a request's connection in its context.
@@ -44,6 +48,19 @@
 	return c
 }
 
+// limitedConnOf returns the accounted connection of a request; nil if there is none.
+func limitedConnOf(ctx context.Context) *limits.Conn {
+	c := callerConnOf(ctx)
+	if c == nil {
+		return nil
+	}
+	return c.limited
+}
+
+// CloseWrite closes the writing side, so that the caller can read a response before the connection is
+// closed.
+func (c *callerConn) CloseWrite() error { return c.limited.CloseWrite() }
+
 // Read never reads beyond the end of a request. It must not be called concurrently.
 func (c *callerConn) Read(b []byte) (int, error) {
 	if len(b) == 0 {
@@ -87,7 +104,7 @@
 	if c == nil {
 		return
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
--- a/internal/app/proxy/connpool.go
+++ b/internal/app/proxy/connpool.go
@@ -22,21 +22,29 @@
 	dialed uint64                      // connections made
 	reused uint64                      // connections taken from the pool
 
+	idleCount     int // connections in idle
+	maxIdle       int // most of them
 	dialTimeoutUS int64
 	longKeepAlive bool // keep connections for as long as the engines announce
 }
 
 const (
-	maxIdlePerEngine = 24 // idle connections kept per engine
+	maxIdlePerEngine = 24   // idle connections kept per engine
+	defaultMaxIdle   = 1024 // idle connections kept for all engines
 
 	defaultDialTimeoutUS = 350_000
 	probeIntervalUS      = 1_000_000 // TCP keep-alive: idle time before the first probe, and interval
 	maxUnansweredProbes  = 2         // after which the connection is broken
 	userTimeoutMS        = 2000      // TCP_USER_TIMEOUT: longest time that sent data may stay unacknowledged
+
+	// Sizes requested for the kernel's buffers of a connection, which it doubles.
+	engineReceiveBytes = 16 << 10
+	engineSendBytes    = 64 << 10
 )
 
 func newConnPool() *connPool {
 	return &connPool{
+		maxIdle:       defaultMaxIdle,
 		idle:          map[string][]*engineConn{},
 		limits:        map[string]*engineIdleLimit{},
 		dialTimeoutUS: defaultDialTimeoutUS,
@@ -73,6 +81,7 @@
 		}
 		c := idle[len(idle)-1] // most recently used
 		p.idle[id] = idle[:len(idle)-1]
+		p.idleCount--
 		p.mu.Unlock()
 		now := clock.Now()
 		if now < c.usableUntil && c.nothingReceived() {
@@ -97,7 +106,7 @@
 			Interval: clock.Duration(probeIntervalUS),
 			Count:    maxUnansweredProbes,
 		},
-		Control: setUserTimeout,
+		Control: setSocketOptions,
 	}
 	c, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -109,10 +118,13 @@
 	return &engineConn{Conn: c, br: bufio.NewReaderSize(c, maxResponseHeaderBytes)}, nil
 }
 
-// setUserTimeout makes the kernel break a connection whose data is not acknowledged in time.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// setSocketOptions makes the kernel break a connection whose data is not acknowledged in time, and bounds
+// what it keeps of a response that the caller does not read.
+func setSocketOptions(_, _ string, c syscall.RawConn) error {
 	return c.Control(func(fd uintptr) {
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMS)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, engineReceiveBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, engineSendBytes)
 	})
 }
 
@@ -152,11 +164,12 @@
 	_ = c.SetDeadline(noDeadline)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[id]) >= maxIdlePerEngine {
+	if len(p.idle[id]) >= maxIdlePerEngine || p.idleCount >= p.maxIdle {
 		c.reset()
 		return
 	}
 	p.idle[id] = append(p.idle[id], c)
+	p.idleCount++
 }
 
 // sweep closes idle connections to engines that are gone, and those that have been idle for too
@@ -172,6 +185,7 @@
 				keep = append(keep, c)
 			} else {
 				c.reset()
+				p.idleCount--
 			}
 		}
 		if p.idle[id] = keep; len(keep) == 0 {
--- a/internal/app/proxy/engineattempt.go
+++ b/internal/app/proxy/engineattempt.go
@@ -97,7 +97,7 @@
 	}
 	a.setConnDeadline(now, a.waitDeadline(now))
 	s.counts.sends.Add(1)
-	_, writeErr := a.conn.Write(a.encodeRequest(now))
+	writeErr := a.sendRequest(now)
 	response, info, end := a.readHead()
 	if response == nil {
 		return end, nil
--- a/internal/app/proxy/enginerequest.go
+++ b/internal/app/proxy/enginerequest.go
@@ -26,19 +26,32 @@
 // defaultPriority is the priority that engines assume if a request has none.
 const defaultPriority = 5
 
-// encodeRequest returns the request to the engine in wire format. Method, target and body are the
-// caller's own.
+// sendRequest sends the request to the engine. A long body is not copied.
+func (a *engineAttempt) sendRequest(now int64) error {
+	if _, err := a.conn.Write(a.encodeRequest(now)); err != nil {
+		return err
+	}
+	if body := a.forwarded.body; body.isLong() {
+		return body.writeTo(a.conn)
+	}
+	return nil
+}
+
+// encodeRequest returns the request to the engine in wire format, without a long body. Method, target
+// and body are the caller's own.
 func (a *engineAttempt) encodeRequest(now int64) []byte {
 	f := a.forwarded
 	var b bytes.Buffer
-	b.Grow(1024 + len(f.body))
+	b.Grow(1024 + len(f.body.text()))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", f.request.Method, f.request.RequestURI, f.request.Host)
-	if len(f.body) > 0 || f.request.ContentLength > 0 || f.request.Method == http.MethodPost || f.request.Method == http.MethodPut {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(f.body))
+	if f.body.length > 0 || f.request.ContentLength > 0 || f.request.Method == http.MethodPost || f.request.Method == http.MethodPut {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", f.body.length)
 	}
 	_ = a.header(now).Write(&b)
 	b.WriteString("\r\n")
-	b.Write(f.body)
+	if !f.body.isLong() {
+		b.Write(f.body.text())
+	}
 	return b.Bytes()
 }
 
--- a/internal/app/proxy/forwarded.go
+++ b/internal/app/proxy/forwarded.go
@@ -10,6 +10,7 @@
 	"violetthread/attempt"
 	"violetthread/cacheindex"
 	"violetthread/internal/clock"
+	"violetthread/internal/limits"
 	"violetthread/placement"
 	"violetthread/route"
 )
@@ -20,11 +21,12 @@
 	server    *server
 	writer    http.ResponseWriter
 	request   *http.Request
+	conn      *limits.Conn // of the caller
 	info      RequestInfo
-	view      *view // loaded when the whole request had been received
+	view      *view // loaded when the whole request had been received; before that, when its head had
 	route     *route.Route
 	tenant    *route.Tenant // nil on a public route
-	body      []byte
+	body      requestBody
 	deadline  int64 // monotonic microseconds
 	forward   attempt.Forward
 	placement placement.Request
@@ -201,7 +203,7 @@
 		s.picker.Eject(now, engine, ejectInterruptedUS, true)
 	case end.state == attempt.Interrupted && end.cause == reasonWeightsOutdated:
 		s.counts.withdrawn.Add(1) // not the engine's fault
-	case end.state == attempt.Interrupted && end.cause != reasonCallerGone && end.cause != reasonDeadlinePassed:
+	case end.state == attempt.Interrupted && end.cause != reasonCallerGone && end.cause != reasonDeadlinePassed && end.cause != reasonOverloaded:
 		s.counts.interrupted.Add(1)
 		s.picker.Eject(now, engine, ejectInterruptedUS, true)
 	}
--- a/internal/app/proxy/idle.go
+++ b/internal/app/proxy/idle.go
@@ -55,6 +55,7 @@
 	if !ok {
 		return
 	}
+	c.limited.TrackState(state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle.since = time.Time{}
--- a/internal/app/proxy/reject.go
+++ b/internal/app/proxy/reject.go
@@ -24,6 +24,7 @@
 	reasonDeadlinePassed  = "due-passed"
 	reasonWeightsOutdated = "weights-outdated"
 	reasonCallerGone      = "caller-gone"
+	reasonOverloaded      = "overloaded"
 )
 
 // remedies says what the caller can do about each reason, including those of package attempt.
@@ -43,6 +44,7 @@
 	reasonEngineMalformed:     "the request may have run; look before sending it again",
 	reasonDeadlinePassed:      "the request may have run; allow more time",
 	reasonWeightsOutdated:     "the request may have run; look before sending it again; its engine had not begun when its weights went out of date",
+	reasonOverloaded:          "come back shortly; this proxy holds as much as its memory allows",
 	reasonCallerGone:          "nobody is left to be told",
 }
 
@@ -52,6 +54,7 @@
 	backoffConfigNotFreshUS = 400_000
 	backoffNoEngineUS       = 300_000
 	backoffRefusedUS        = 150_000
+	backoffOverloadedUS     = 300_000
 )
 
 // respondError responds to a request that is not forwarded, or whose response was lost. A backoffUS
--- a/internal/app/proxy/server.go
+++ b/internal/app/proxy/server.go
@@ -18,6 +18,7 @@
 	"violetthread/internal/app/process"
 	"violetthread/internal/clock"
 	"violetthread/internal/daemon"
+	"violetthread/internal/limits"
 	"violetthread/internal/taskgroup"
 	"violetthread/internal/transport"
 	"violetthread/membership"
@@ -37,6 +38,7 @@
 	HintEntries int                 // size of the hint table; a larger one covers more of the fleet's caches
 	Policy      placement.Policy    // enabled mechanisms
 	Cost        placement.CostModel // used to compare engines
+	Machine     limits.Machine      // bounds what callers can make the proxy hold; what it leaves out is detected
 }
 
 // server is the state that the parts of the proxy share.
@@ -48,6 +50,7 @@
 	incarnation  uint64               // random id of this run of the process
 	view         atomic.Pointer[view] // state of the fleet as last reported; never nil
 	pool         *connPool
+	callers      *limits.Port // share of the port for callers in the machine
 	hints        *cacheindex.HolderTable
 	hintsMu      sync.Mutex // guards writes to hints
 	httpServer   atomic.Pointer[http.Server]
@@ -80,6 +83,12 @@
 	// together stay within the limits while they disagree on how many proxies there are.
 	retryShare = 0.7
 
+	// operationalFraction is the share of the port for readiness and metrics in what peers can make
+	// the proxy hold.
+	operationalFraction = 0.15
+
+	portCallers = "callers" // name of the port for callers in logs and metrics
+
 	defaultHeaderTimeout = 5 * time.Second // if the configuration sets none
 )
 
@@ -95,6 +104,7 @@
 		return nil, err
 	}
 	d := daemon.New("violetthread-proxy", settings.Name, settings.HTTP, max(settings.Bounds.GraceUS-graceSlackUS, minGraceUS))
+	d.Machine, d.HTTPFraction = settings.Machine, operationalFraction
 	s := &server{
 		settings:       settings,
 		daemon:         d,
@@ -102,6 +112,7 @@
 		controlNodes:   transport.NewPeerPool(d.Group),
 		incarnation:    incarnation,
 		pool:           newConnPool(),
+		callers:        d.NewPort(portCallers, 1-operationalFraction),
 		hints:          cacheindex.NewHolderTable(settings.HintEntries),
 		retryWindows:   map[string]*attempt.RetryWindow{},
 		retryAllowance: 1,
@@ -110,6 +121,7 @@
 		loadChanges:    make(chan struct{}, 1),
 	}
 	s.picker = s.newPicker()
+	s.pool.maxIdle = d.Machine.OrDetected().DialedConnections()
 	s.pool.longKeepAlive = settings.Policy.Uses(placement.LongKeepAlive)
 	s.view.Store(&view{})
 	f := newFollower(s)
@@ -156,28 +168,28 @@
 }
 
 // listen opens the port for callers, with the limits of the configuration.
-func (s *server) listen(limits route.Limits) error {
-	listener, err := net.Listen("tcp", s.settings.Listen)
+func (s *server) listen(requestLimits route.Limits) error {
+	listener, err := limits.Listen(s.settings.Listen, s.callers)
 	if err != nil {
 		return trace.ConnectionProblem(err, "can't listen on %s; give it a free IP:port of this machine", s.settings.Listen)
 	}
-	s.serveCallers(listener, limits)
+	s.serveCallers(listener, requestLimits)
 	s.daemon.Log.Info("listening", "addr", s.settings.Listen)
 	return nil
 }
 
 // serveCallers serves callers' requests from a listener.
-func (s *server) serveCallers(listener net.Listener, limits route.Limits) {
+func (s *server) serveCallers(listener net.Listener, requestLimits route.Limits) {
 	httpServer := &http.Server{
 		Handler:           http.HandlerFunc(s.serveRequest),
-		ReadHeaderTimeout: clock.Duration(limits.HeaderUS),
+		ReadHeaderTimeout: clock.Duration(requestLimits.HeaderUS),
 		IdleTimeout:       idleUnbounded,
-		MaxHeaderBytes:    int(limits.HeaderBytes),
+		MaxHeaderBytes:    int(requestLimits.HeaderBytes),
 		ErrorLog:          log.New(io.Discard, "", 0),
 		ConnContext:       withCallerConn,
 		ConnState:         trackConnState,
 	}
-	if limits.HeaderUS <= 0 {
+	if requestLimits.HeaderUS <= 0 {
 		httpServer.ReadHeaderTimeout = defaultHeaderTimeout
 	}
 	s.httpServer.Store(httpServer)
