proxy: reserve what is kept of responses that a caller does not read

What callers saw: 300 callers that do not read a response of 8 MiB made the process and the kernel keep 946 MB, 150 that do not read a stream of long events 653 MB, of a machine's 160. Cause: up to 256 KiB of each response and 1 MiB of each event are buffered, and the kernel kept up to some MB for each connection to an engine and to a caller. Change: buffered responses and long events are reserved first. Without memory a response is passed on as it arrives, and a stream is broken off without blaming its engine.

--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -1,15 +1,17 @@
 package proxy
 
 import (
-	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"violetthread/attempt"
 	"violetthread/cacheindex"
 	"violetthread/internal/clock"
+	"violetthread/internal/limits"
 	"violetthread/placement"
 	"violetthread/route"
 )
@@ -17,7 +19,8 @@
 const (
 	// bufferedResponseBytes is the size up to which a non-streaming response is read to its end
 	// before any of it is passed on.
-	bufferedResponseBytes = 256 << 10
+	bufferedResponseBytes  = 256 << 10
+	minResponseBufferBytes = 4 << 10 // first allocation for it
 
 	// writeGraceUS is how long after its deadline a caller may still read the response.
 	writeGraceUS = 2_000_000
@@ -45,22 +48,22 @@
 func (a *engineAttempt) relayNonStream(response *http.Response) outcome {
 	f := a.forwarded
 	a.setConnDeadline(clock.Now(), a.responseDeadline())
-	var buffered bytes.Buffer
-	if _, err := io.Copy(&buffered, io.LimitReader(response.Body, bufferedResponseBytes)); err != nil {
+	buffered, complete, err := a.bufferResponse(response.Body)
+	if err != nil {
 		a.reportInvalidBody(err)
 		return a.interrupted(reasonEngineLost)
 	}
 	if response.StatusCode >= 500 && a.mayRetryElsewhere() {
 		return a.interrupted(reasonEngineFailed)
 	}
-	complete := buffered.Len() < bufferedResponseBytes
 	a.responseStarted()
-	a.setLength(response, buffered.Len(), complete)
+	a.setLength(response, len(buffered), complete)
 	a.writeHead(response)
-	if _, err := f.writer.Write(buffered.Bytes()); err != nil {
+	if _, err := f.writer.Write(buffered); err != nil {
 		return a.interrupted(reasonCallerGone)
 	}
 	if !complete {
+		f.conn.Expand()
 		if _, err := io.Copy(f.writer, response.Body); err != nil {
 			return a.interrupted(reasonEngineLost)
 		}
@@ -68,6 +71,30 @@
 	return completed
 }
 
+// bufferResponse reads the start of a response: bufferedResponseBytes, or less if there is no memory for
+// more. complete says that this is the whole response.
+func (a *engineAttempt) bufferResponse(body io.Reader) (buffered []byte, complete bool, err error) {
+	buffered = make([]byte, 0, minResponseBufferBytes)
+	for len(buffered) < bufferedResponseBytes {
+		if len(buffered) == cap(buffered) {
+			size := min(2*cap(buffered), bufferedResponseBytes)
+			if size > limits.Allowance && !a.forwarded.conn.Reserve(int64(size)) {
+				return buffered, false, nil
+			}
+			buffered = slices.Grow(buffered, size-len(buffered))
+		}
+		n, err := body.Read(buffered[len(buffered):min(cap(buffered), bufferedResponseBytes)])
+		buffered = buffered[:len(buffered)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffered, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+	return buffered, false, nil
+}
+
 // mayRetryElsewhere reports whether the request would get another attempt if this one counted as
 // interrupted.
 func (a *engineAttempt) mayRetryElsewhere() bool {
--- a/internal/app/proxy/stream.go
+++ b/internal/app/proxy/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"violetthread/internal/eventstream"
+	"violetthread/internal/limits"
 )
 
 // eventStreamType is the media type of a stream of events.
@@ -61,6 +62,12 @@
 	}
 	a.resuming = a.forwarded.forward.HeadSent
 	events := eventstream.NewReader(response.Body, a.forwarded.server.adapter.ValidEventField)
+	events.Reserve = func(bytes int) error {
+		if !a.forwarded.conn.Reserve(int64(bytes)) {
+			return limits.ErrOverloaded
+		}
+		return nil
+	}
 	for {
 		event, err := events.Next()
 		if err != nil {
@@ -83,6 +90,9 @@
 	switch {
 	case errors.As(err, &violation):
 		return a.invalidResponse(violation)
+	case errors.Is(err, limits.ErrOverloaded):
+		a.forwarded.forward.StopReason = reasonOverloaded
+		return a.interrupted(reasonOverloaded)
 	case !errors.Is(err, io.EOF):
 		a.reportInvalidBody(err)
 		return a.interrupted(reasonEngineLost)
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -10,12 +10,20 @@
 // readBufferBytes is the size of a Reader's buffer; longer events are assembled from several reads.
 const readBufferBytes = 4096
 
+// reserveStepBytes is the least that a Reader reserves at once.
+const reserveStepBytes = 64 << 10
+
 // Reader reads the events of one stream and validates them and their order.
 type Reader struct {
 	source    *bufio.Reader
 	extension ExtensionField
 	lastID    uint64
 	started   bool // an event has been read
+
+	// Reserve, if set, is called before an event takes more bytes than any before it, with the
+	// difference. Its error ends the stream.
+	Reserve  func(bytes int) error
+	reserved int
 }
 
 // NewReader returns a reader of the stream in body. extension may be nil.
@@ -55,6 +63,9 @@
 	lineStart := 0
 	for {
 		part, err := r.source.ReadSlice('\n')
+		if err := r.reserve(len(block) + len(part)); err != nil {
+			return nil, err
+		}
 		block = append(block, part...)
 		if len(block) > MaxEventBytes {
 			return nil, TooLong
@@ -72,6 +83,17 @@
 	}
 }
 
+// reserve reserves the memory of an event of this length.
+func (r *Reader) reserve(length int) error {
+	size := 2 * length // a block's capacity about doubles as it grows
+	if r.Reserve == nil || size <= max(r.reserved, 2*readBufferBytes) {
+		return nil
+	}
+	more := max(size-r.reserved, reserveStepBytes)
+	r.reserved += more
+	return r.Reserve(more)
+}
+
 // isComment reports whether a block consists of valid comment lines alone.
 func isComment(block []byte) bool {
 	if !isText(block) || block[0] != ':' {
