A graceful stop does not wait for clients that have stopped in the middle of a request

Cause: Shutdown waits for every connection with a request under way, also for those whose rest does not come. The proxy's drain then lasts its 7.3 s, and the HTTP port's up to 2 s more: 9.3 s of 8. Change: at the end of a drain the HTTP port closes the connections that wait for their peers, and the port for callers does so 0.5 s after the time in which new requests still arrive (2.7 s). Nothing of such a request has run.

--- a/internal/app/proxy/server.go
+++ b/internal/app/proxy/server.go
@@ -79,6 +79,10 @@
 	// ready: the platform checks readiness once a second and acts on the second failure.
 	drainDelayUS = 2_700_000
 
+	// drainReceiveUS is for how long after that the rest of requests is still received. A request that is
+	// complete later could not be answered before the process ends.
+	drainReceiveUS = 500_000
+
 	// retryShare is the fraction of the fleet's retry limits that is used, so that all proxies
 	// together stay within the limits while they disagree on how many proxies there are.
 	retryShare = 0.7
@@ -207,13 +211,17 @@
 
 // drain lets requests in flight finish. New requests are accepted for drainDelayUS, since they
 // still arrive; their responses ask the caller to close the connection, so that it connects to
-// another proxy.
+// another proxy. Requests that are incomplete after that are cut off: they have not run.
 func (s *server) drain(ctx context.Context) {
 	httpServer := s.httpServer.Load()
 	if httpServer == nil {
 		return
 	}
 	taskgroup.Sleep(ctx, drainDelayUS)
+	s.daemon.Group.Go("callers.close_waiting", func(context.Context) {
+		taskgroup.Sleep(ctx, drainReceiveUS)
+		s.callers.CloseWaiting()
+	})
 	_ = httpServer.Shutdown(ctx)
 	s.pool.closeIdle()
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,7 @@
 	HTTPFraction float64
 
 	addr         string
+	httpPort     *limits.Port // nil before Run
 	server       *khttp.Server
 	app          atomic.Pointer[kratos.App] // nil before Run
 	notReady     atomic.Pointer[string]     // reason; nil when ready
@@ -127,7 +128,8 @@
 
 // listen opens the HTTP port.
 func (d *Daemon) listen() error {
-	listener, err := limits.Listen(d.addr, d.NewPort(portHTTP, d.HTTPFraction))
+	d.httpPort = d.NewPort(portHTTP, d.HTTPFraction)
+	listener, err := limits.Listen(d.addr, d.httpPort)
 	if err != nil {
 		return err
 	}
@@ -146,6 +148,9 @@
 	for _, drain := range slices.Backward(d.drains) {
 		drain(ctx)
 	}
+	if d.httpPort != nil {
+		d.httpPort.CloseWaiting()
+	}
 	return nil
 }
 
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -176,6 +176,21 @@
 	}
 }
 
+// TestCloseWaiting: connections that wait for their peers are closed, those in service are not.
+func TestCloseWaiting(t *testing.T) {
+	p := newTestPort(10, 1000)
+	l := listen(t, p)
+	served, idle, receiving := open(t, l), open(t, l), open(t, l)
+	served.conn.Serving()
+	if !receiving.conn.Reserve(500) {
+		t.Fatal("refused")
+	}
+	p.CloseWaiting()
+	if !isOpen(served.peer) || isOpen(idle.peer) || isOpen(receiving.peer) {
+		t.Fatal("not just the connections that wait for their peers were closed")
+	}
+}
+
 // TestOnlyHolder: a single request is served whatever its size.
 func TestOnlyHolder(t *testing.T) {
 	l := listen(t, newTestPort(10, 1000))
--- a/internal/limits/port.go
+++ b/internal/limits/port.go
@@ -204,18 +204,37 @@
 // evict closes a connection. Its goroutines notice that, and remove the connection as they end. The
 // caller holds p.mu, which is unlocked meanwhile.
 func (p *Port) evict(c *Conn, bound Bound) {
+	p.evicted[bound].Add(1)
+	p.logLimit(bound)
+	p.end(c)
+}
+
+// end closes a connection as evict does. The caller holds p.mu, which is unlocked meanwhile.
+func (p *Port) end(c *Conn) {
 	p.stopWaiting(c)
 	c.evicted = true
 	p.ending++
 	p.endingBytes += c.held
-	p.evicted[bound].Add(1)
-	p.logLimit(bound)
 	p.changed.Broadcast()
 	p.mu.Unlock()
 	defer p.mu.Lock()
 	c.closeWithReset()
 }
 
+// CloseWaiting closes all connections that wait for their peer, so that a graceful stop does not wait for
+// them.
+func (p *Port) CloseWaiting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		c := p.longestWaiting()
+		if c == nil {
+			return
+		}
+		p.end(c)
+	}
+}
+
 // reserve adds n bytes to what a connection holds. If the port is at its bound, it evicts other
 // connections and waits until they have released enough. If there are none to evict, it returns false,
 // or waits if wait is set. It also returns false once c itself has been evicted or closed.
--- a/internal/overload/platform_test.go
+++ b/internal/overload/platform_test.go
@@ -150,12 +150,13 @@
 memory-mb = %d
 file-descriptors = %d
 [policy-bounds]
+grace-period-s = %d
 retry-budget-ratio = 1
 retry-allowance = 100000
 [platform-api]
 address = %q
 `, name, ip, f.port, f.port, strings.Join(seeds, `","`), initial, filepath.Join(f.dir, name), ip, frontendPort, ip, readinessPort, ip, controlPort,
-		machineMemoryMB, machineDescriptors, f.list)
+		machineMemoryMB, machineDescriptors, int(gracePeriod.Seconds()), f.list)
 	if err := os.WriteFile(boot, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
