daemon: the HTTP port is published to a stop that comes from another goroutine

What was seen: the race detector at TestStop: drain reads the port that listen writes. Change: an atomic pointer. Evidence: TestStop failed with the race detector before, passes 5 of 5.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,7 +37,7 @@
 	HTTPFraction float64
 
 	addr         string
-	httpPort     *limits.Port // nil before Run
+	httpPort     atomic.Pointer[limits.Port] // nil before Run
 	server       *khttp.Server
 	app          atomic.Pointer[kratos.App] // nil before Run
 	notReady     atomic.Pointer[string]     // reason; nil when ready
@@ -128,8 +128,9 @@
 
 // listen opens the HTTP port.
 func (d *Daemon) listen() error {
-	d.httpPort = d.NewPort(portHTTP, d.HTTPFraction)
-	listener, err := limits.Listen(d.addr, d.httpPort)
+	port := d.NewPort(portHTTP, d.HTTPFraction)
+	d.httpPort.Store(port)
+	listener, err := limits.Listen(d.addr, port)
 	if err != nil {
 		return err
 	}
@@ -148,8 +149,8 @@
 	for _, drain := range slices.Backward(d.drains) {
 		drain(ctx)
 	}
-	if d.httpPort != nil {
-		d.httpPort.CloseWaiting()
+	if port := d.httpPort.Load(); port != nil {
+		port.CloseWaiting()
 	}
 	return nil
 }
