--- a/review/testdata/fleet2/main.go
+++ b/review/testdata/fleet2/main.go
@@ -23,7 +23,6 @@
 	"first-ack":    firstAck,
 	"first-start":  firstStart,
 	"budget":       budget,
-	"limits":       headerLimits,
 	"last-tenant":  lastTenant,
 	"large-config": largeConfig,
 }
