review: a stand-in's answer no longer looks like a log call to the tests of the pages

Cause: docs' tests of log names read review/testdata too, and took http.Error for a log call. Change: the engine of fleet2 writes the status and the text itself.

--- a/review/testdata/fleet2/engine.go
+++ b/review/testdata/fleet2/engine.go
@@ -166,7 +166,8 @@
 	w.Header().Set("X-Violetthread-Weight-Versions", strconv.Itoa(run))
 	time.Sleep(20 * time.Millisecond)
 	if e.fails {
-		http.Error(w, "the run failed", http.StatusInternalServerError)
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "the run failed\n")
 		return
 	}
 	if !strings.HasPrefix(r.URL.Path, "/stream/") {
