A configuration without tenants left still requires keys

Cause: route.Table.RequiresKeys was len(Tenants) > 0, so a list that has become empty was the same as a deployment that never had tenants.

Change: a list of tenants, even an empty one, means that keys are required. Where a later configuration has no list, the stored document says that keys stay required, so that a proxy that starts later, or a restart, agrees. Such a document has a format byte of its own, which older programs refuse; all others are stored as before. A deployment that never had the list asks for no keys, as the protocol says.

--- a/route/change.go
+++ b/route/change.go
@@ -72,34 +72,43 @@
 	if c.Base != current.Version {
 		return nil, Stale, nil
 	}
-	text, version, findings := c.result(current, parse, names)
+	text, config, findings := c.result(current, parse, names)
 	if len(findings) > 0 {
 		return nil, Invalid, findings
 	}
 	past := current.Accepted[max(0, len(current.Accepted)-MaxAccepted+1):]
-	next = &Document{Version: version, Text: text}
-	next.Accepted = append(append(next.Accepted, past...), AcceptedChange{version, c.Base, digest})
+	next = &Document{Version: config.Version, Text: text, KeysRequired: !config.KeysRequired && current.requiresKeys(parse)}
+	next.Accepted = append(append(next.Accepted, past...), AcceptedChange{config.Version, c.Base, digest})
 	return next, Accepted, nil
 }
 
-// result returns the configuration text that the change makes of the current document, and its
-// version. Neither is valid if there are findings.
-func (c Change) result(current *Document, parse func([]byte) (Config, []Finding), names FieldNames) (text []byte, version uint64, findings []Finding) {
+// requiresKeys reports whether requests need API keys under the document.
+func (d *Document) requiresKeys(parse func([]byte) (Config, []Finding)) bool {
+	if d.KeysRequired || len(d.Text) == 0 {
+		return d.KeysRequired
+	}
+	config, _ := parse(d.Text)
+	return config.KeysRequired
+}
+
+// result returns the configuration text that the change makes of the current document, and the
+// configuration that it is parsed to. Neither is valid if there are findings.
+func (c Change) result(current *Document, parse func([]byte) (Config, []Finding), names FieldNames) (text []byte, config Config, findings []Finding) {
 	text = c.Body
 	if c.Replace {
 		// Later patches can only be merged into one valid JSON object without repeated members.
 		if _, err := topLevelMembers(text); err != nil {
-			return nil, 0, []Finding{unreadable("", err)}
+			return nil, Config{}, []Finding{unreadable("", err)}
 		}
 	} else if text, findings = Merge(current.Text, c.Body, names); len(findings) > 0 {
-		return nil, 0, findings
+		return nil, Config{}, findings
 	}
 	if len(text) > MaxConfigBytes {
-		return nil, 0, []Finding{{"", "too-large", "remove items that are no longer needed"}}
+		return nil, Config{}, []Finding{{"", "too-large", "remove items that are no longer needed"}}
 	}
-	config, findings := parse(text)
+	config, findings = parse(text)
 	if len(findings) == 0 {
 		findings = Validate(config, current.Version)
 	}
-	return text, config.Version, findings
+	return text, config, findings
 }
--- a/route/config.go
+++ b/route/config.go
@@ -67,7 +67,10 @@
 	Routes  []Route
 	Pools   []Pool
 	Tenants []Tenant
-	Limits  Limits
+	// KeysRequired means that requests need an API key, unless their route is public, even if there
+	// is no tenant. A list of tenants that has become empty admits nobody.
+	KeysRequired bool
+	Limits       Limits
 }
 
 // Finding is one problem found in a configuration.
--- a/route/document.go
+++ b/route/document.go
@@ -30,6 +30,17 @@
 	Version  uint64 // of the configuration, as numbered by the operator
 	Text     []byte
 	Accepted []AcceptedChange // oldest first, at most MaxAccepted
+	// KeysRequired means that an earlier configuration required API keys and that the text, which has
+	// no list of tenants, does not say so: Config.KeysRequired holds for it too.
+	KeysRequired bool
+}
+
+// format returns the format of the register's value.
+func (d *Document) format() byte {
+	if d.KeysRequired {
+		return formatDocumentKeysRequired
+	}
+	return formatDocument
 }
 
 // AcceptedChange is a change that was accepted. Each is based on the one before it, so that
@@ -54,19 +65,19 @@
 	w := lo.Must(flate.NewWriter(&deflated, flate.DefaultCompression))
 	_, _ = w.Write(d.Text) // writing to a Buffer does not fail
 	_ = w.Close()
-	return encodeFrame(formatDocument, append(body, deflated.Bytes()...))
+	return encodeFrame(d.format(), append(body, deflated.Bytes()...))
 }
 
 // DecodeDocument decodes a value written by Encode. It returns an error if the value is
 // corrupt, has another format or exceeds a limit.
 func DecodeDocument(frame []byte) (*Document, error) {
-	body, err := decodeFrame(formatDocument, frame)
+	d := &Document{KeysRequired: len(frame) > 0 && frame[0] == formatDocumentKeysRequired}
+	body, err := decodeFrame(d.format(), frame)
 	if err != nil {
 		return nil, err
 	}
 	malformed := trace.BadParameter("the configuration register is malformed; use a node of the software version that wrote it")
 	r := bytes.NewReader(body)
-	d := &Document{}
 	count, err := readUvarintPair(r, &d.Version)
 	if err != nil || count > MaxAccepted {
 		return nil, malformed
--- a/route/document_test.go
+++ b/route/document_test.go
@@ -222,3 +222,35 @@
 		}
 	})
 }
+
+// TestDocumentKeepsKeysRequired guards against a configuration without a list of tenants that opens
+// its routes again when the register is read back, and against a change of the format of all others.
+func TestDocumentKeepsKeysRequired(t *testing.T) {
+	parse := func(text []byte) (Config, []Finding) {
+		config, findings := parsePools(text)
+		config.KeysRequired = bytes.Contains(text, []byte(`"tenants"`))
+		return config, findings
+	}
+	var current *Document
+	for i, step := range []struct {
+		body   string
+		format byte
+	}{
+		{`{"v":1}`, formatDocument},
+		{`{"v":2,"tenants":[]}`, formatDocument},
+		{`{"v":3}`, formatDocumentKeysRequired},
+		{`{"v":4}`, formatDocumentKeysRequired},
+		{`{"v":5,"tenants":[]}`, formatDocument},
+	} {
+		next, outcome, findings := whole(uint64(i), step.body).Apply(current, parse, testFields)
+		if outcome != Accepted {
+			t.Fatalf("step %d is %v: %v", i, outcome, findings)
+		}
+		value := next.Encode()
+		decoded, err := DecodeDocument(value)
+		if err != nil || value[0] != step.format || !reflect.DeepEqual(decoded, next) {
+			t.Fatalf("step %d: format %x, want %x, decoded %+v, %v", i, value[0], step.format, decoded, err)
+		}
+		current = decoded
+	}
+}
--- a/route/frame.go
+++ b/route/frame.go
@@ -10,8 +10,9 @@
 // Formats of the values of this package's registers. A stored value is the format byte, the
 // body, and the CRC-32C (Castagnoli) of both in little endian.
 const (
-	formatDocument byte = 0xC1
-	formatWeights  byte = 0xA1
+	formatDocument             byte = 0xC1
+	formatDocumentKeysRequired byte = 0xC2 // of a Document with KeysRequired
+	formatWeights              byte = 0xA1
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
--- a/route/table.go
+++ b/route/table.go
@@ -110,8 +110,8 @@
 	return t.keys[key]
 }
 
-// RequiresKeys reports whether requests need API keys at all.
-func (t *Table) RequiresKeys() bool { return len(t.Tenants) > 0 }
+// RequiresKeys reports whether requests need API keys, unless their route is public.
+func (t *Table) RequiresKeys() bool { return t.KeysRequired || len(t.Tenants) > 0 }
 
 // Pool returns the pool of that name, or nil.
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
