wal: a record that does not fit into one segment is written in fragments

Cause: the leader takes a change up to the limit of its state (8 MB), but appendRecord refuses what does not fit into one segment (2 MB under a deploy file). Each voter takes that for a failed disk and gives up voting. Shown by disk_unusable "a record of ... bytes does not fit into a file of 2097152 bytes" in the logs of all voters, and by TestRecordLargerThanSegment, which on the former code fails at the first record longer than a segment.

Change: such a record is written as fragments, one a segment, with record types of their own. Room for all is checked before the first is written; a record without its last fragment does not exist. Files, sizes and all other records are as before, so that logs on disk are still read; a log with such a record is refused by older programs.

TestFullError asked that a record larger than a segment is refused, which was the fault. It now asks it of the first record that no longer fits into the segments which Append may use, and that one byte less is taken.

--- a/wal/doc.go
+++ b/wal/doc.go
@@ -39,10 +39,15 @@
 //	0       4      length n of the data
 //	4       4      checksum, see below
 //	8       8      synced position, see below
-//	16      1      type: 1 data, 2 checkpoint begin, 3 checkpoint data, 4 checkpoint end
+//	16      1      type, see below
 //	17      3      zero
 //	20      n      data
 //
+// The types are 1 data, 2 checkpoint begin, 3 checkpoint data and 4 checkpoint end. A data record
+// that does not fit into one segment is written as fragments, one in each segment that it spans: 5
+// first, 6 middle, 7 last, or 8, 9 and 10 in a checkpoint. A record whose last fragment is missing
+// does not exist; the next record that is no later fragment of it shows that it was never completed.
+//
 // The checksum covers, in this order: the sequence number of the segment (8 bytes), the
 // record's offset in the segment (8 bytes), bytes 0..3 and 8..19 of the record, and the
 // data. A record left over from an earlier segment in the same file therefore fails the
--- a/wal/record.go
+++ b/wal/record.go
@@ -30,16 +30,30 @@
 	typeCheckpointBegin
 	typeCheckpointData
 	typeCheckpointEnd
+	// The fragments of a data record that does not fit into one segment.
+	typeDataFirst
+	typeDataMiddle
+	typeDataLast
+	// The same of a checkpoint's data record.
+	typeCheckpointDataFirst
+	typeCheckpointDataMiddle
+	typeCheckpointDataLast
 )
 
-func (t recordType) valid() bool { return typeData <= t && t <= typeCheckpointEnd }
+func (t recordType) valid() bool { return typeData <= t && t <= typeCheckpointDataLast }
+
+var recordTypeNames = [...]string{
+	"data", "checkpoint begin", "checkpoint data", "checkpoint end",
+	"data first", "data middle", "data last",
+	"checkpoint data first", "checkpoint data middle", "checkpoint data last",
+}
 
 // String returns the name of the type, for debugging.
 func (t recordType) String() string {
 	if !t.valid() {
 		return "invalid"
 	}
-	return [...]string{"data", "checkpoint begin", "checkpoint data", "checkpoint end"}[t-typeData]
+	return recordTypeNames[t-typeData]
 }
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
--- a/wal/recover.go
+++ b/wal/recover.go
@@ -36,6 +36,7 @@
 	for sequence := found.oldest; sequence <= found.newest; sequence++ {
 		records = append(records, found.bySequence[sequence].records...)
 	}
+	records = joinFragments(records)
 	begin, end := newestCheckpoint(records)
 	l.oldestNeeded = found.oldest
 	if begin >= 0 {
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -1,10 +1,6 @@
 package wal
 
-import (
-	"fmt"
-
-	"github.com/gravitational/trace"
-)
+import "github.com/gravitational/trace"
 
 // Config is the size of a log. It can't be changed once the log contains records.
 type Config struct {
@@ -12,8 +8,8 @@
 	// the longer a checkpoint takes, the more segments are needed; Append describes how many
 	// are reserved.
 	SegmentCount int
-	// SegmentBytes is the length of each file in bytes, at least 4096. A record must fit
-	// into a segment after its header.
+	// SegmentBytes is the length of each file in bytes, at least 4096. A record that does
+	// not fit into one segment is written in fragments.
 	SegmentBytes int64
 }
 
@@ -192,33 +188,44 @@
 	}
 	size := recordBytes(len(data))
 	if size > l.config.SegmentBytes-headerBytes {
-		return &FullError{
-			Detail: fmt.Sprintf("a record of %d bytes does not fit into a file of %d bytes", len(data), l.config.SegmentBytes),
-			Remedy: "raise ring_bytes (fixed under a deploy file), with an empty data folder",
-		}
+		return l.appendFragments(recordType, data, reserved)
 	}
 	if l.offset+size > l.config.SegmentBytes {
 		if err := l.nextSegment(reserved); err != nil {
 			return err
 		}
 	}
+	return l.writeRecord(recordType, data)
+}
+
+// writeRecord writes a record that fits into the rest of the current segment.
+func (l *Log) writeRecord(recordType recordType, data []byte) error {
 	encoded := encodeRecord(record{recordType, l.sequence, l.synced, data}, l.offset)
 	if err := l.write(l.sequence, encoded, l.offset); err != nil {
 		return err
 	}
-	l.offset += size
+	l.offset += int64(len(encoded))
 	l.unsynced = true
 	return nil
 }
 
-// nextSegment begins the next segment if at least the given number of segments stay free.
-func (l *Log) nextSegment(reserved int) error {
-	if l.sequence+2-l.oldestNeeded > uint64(l.config.SegmentCount-reserved) {
+// checkFree returns an error unless this many more segments can begin and at least the given number
+// stay free.
+func (l *Log) checkFree(segments uint64, reserved int) error {
+	if l.sequence+1+segments-l.oldestNeeded > uint64(l.config.SegmentCount-reserved) {
 		return &FullError{
 			Detail: "no free segment file is left until the next checkpoint completes",
 			Remedy: "raise ring_files (fixed under a deploy file), with an empty data folder",
 		}
 	}
+	return nil
+}
+
+// nextSegment begins the next segment if at least the given number of segments stay free.
+func (l *Log) nextSegment(reserved int) error {
+	if err := l.checkFree(1, reserved); err != nil {
+		return err
+	}
 	if err := l.Sync(); err != nil {
 		return err
 	}
