Large configurations reach proxies, and those that can't be kept are refused

Cause: a bounded port sends through kernel buffers of 8 KiB, so that a sender over loopback waits for a delayed acknowledgement nearly each time. 2.25 MB took 1.0 to 1.3 s, and 7 to 17 ms from a port without the bound; a proxy waits 0.45 s for its poll, so that it never had the configuration and its old one became too old. The large buffer was asked for only behind the first 256 KiB of a response to a caller, never by nodes and operators.

Change: a connection's send buffer is large during writes of over 16 KiB, if the port has the memory (nobody is evicted for it), and what the kernel has not sent when the request ends stays accounted and evictable. A call waits on while its response is arriving, 5 s at the most, for slow links. The configuration's register holds at most 3.25 MiB and that of weights 512 KiB: what is more is refused with 413 before anything is written, also when small changes grow to it; before, the state's limit answered 503 for ever.

Evidence: TestLargeResponseFromBoundedPort and TestResponseThatArrivesSlowly fail on the source before.

--- a/internal/app/proxy/relay.go
+++ b/internal/app/proxy/relay.go
@@ -63,7 +63,6 @@
 		return a.interrupted(reasonCallerGone)
 	}
 	if !complete {
-		f.conn.Expand()
 		if _, err := io.Copy(f.writer, response.Body); err != nil {
 			return a.interrupted(reasonEngineLost)
 		}
--- a/internal/limits/conn.go
+++ b/internal/limits/conn.go
@@ -25,10 +25,14 @@
 	// headStepBytes is how much the cost of a head grows between two reservations.
 	headStepBytes = 8 << 10
 
-	// largeBufferBytes replaces kernelBufferBytes while a large message is transferred.
+	// largeBufferBytes replaces kernelBufferBytes while a large message is transferred. With smaller
+	// buffers, a sender waits for the delayed acknowledgement of nearly each segment.
 	largeBufferBytes = 64 << 10
-	// expandedBytes is what a connection holds more when its buffers are large.
+	// expandedBytes is what a connection holds more when one of its buffers is large.
 	expandedBytes = 2 * largeBufferBytes
+
+	// largeWriteBytes is the size from which a write is worth a large buffer: more than a small one takes.
+	largeWriteBytes = 2 * kernelBufferBytes
 )
 
 // Conn is an accepted connection whose peer's use of memory is bounded.
@@ -41,7 +45,10 @@
 	// Only the goroutine that serves the connection's requests uses these.
 	headCost     int64
 	headReserved int64
-	expanded     bool // the kernel's buffers have largeBufferBytes
+	expanded     bool // the kernel's receive buffer has largeBufferBytes
+
+	// Only the goroutine that writes uses it; Idle does so between two writes.
+	sendExpanded bool // the kernel's send buffer has largeBufferBytes
 
 	// Guarded by port.mu.
 	held      int64         // bytes beyond connectionBytes
@@ -52,6 +59,7 @@
 	evicted   bool
 	inGroup   bool
 	group     string
+	unsent    bool // expandedBytes are held for what the kernel had not sent when the last request ended
 
 	waitingSince time.Time
 }
@@ -153,13 +161,6 @@
 	return c.Reserve(n)
 }
 
-// Write writes to the connection. While the peer does not read, the connection counts as waiting for it.
-func (c *Conn) Write(b []byte) (int, error) {
-	c.writingSince.Store(time.Now().UnixNano())
-	defer c.writingSince.Store(0)
-	return c.Conn.Write(b)
-}
-
 // Reserve accounts n more bytes to the connection until its request ends. It returns false if the port
 // has no memory for them. They must be reserved before they are allocated.
 func (c *Conn) Reserve(n int64) bool {
@@ -211,6 +212,9 @@
 	}
 	c.port.mu.Lock()
 	defer c.port.mu.Unlock()
+	if c.unsent && c.isSent() {
+		c.port.settleUnsent(c)
+	}
 	c.port.startWaiting(c)
 }
 
@@ -242,23 +246,23 @@
 	c.headCost, c.headReserved = 0, 0
 	c.readingHead.Store(true)
 	c.shrink()
+	unsent := c.sendExpanded && !c.isSent()
+	c.shrinkSend()
 	c.port.mu.Lock()
 	defer c.port.mu.Unlock()
 	c.port.leaveGroup(c)
-	c.port.release(c, c.held)
+	c.port.releaseIdle(c, unsent)
 	c.port.startWaiting(c)
 }
 
-// Expand enlarges the kernel's buffers for a large message if the port has the memory. Idle undoes it.
+// Expand enlarges the kernel's receive buffer for a large message if the port has the memory. Idle
+// undoes it.
 func (c *Conn) Expand() {
-	if c == nil {
-		return
-	}
-	if c.expanded || !c.Reserve(expandedBytes) {
+	if c == nil || c.expanded || !c.port.tryReserve(c, expandedBytes) {
 		return
 	}
 	c.expanded = true
-	c.resizeBuffers(largeBufferBytes)
+	c.setBuffer(unix.SO_RCVBUF, largeBufferBytes)
 }
 
 // Shrink undoes Expand before the connection is idle.
@@ -270,15 +274,21 @@
 	c.Release(expandedBytes)
 }
 
-// shrink restores the kernel's buffers.
+// shrink restores the kernel's receive buffer.
 func (c *Conn) shrink() {
 	if c.expanded {
 		c.expanded = false
-		c.resizeBuffers(kernelBufferBytes)
+		c.setBuffer(unix.SO_RCVBUF, kernelBufferBytes)
 	}
 }
 
-func (c *Conn) resizeBuffers(size int) {
+// setBuffer sets the size of one of the kernel's buffers.
+func (c *Conn) setBuffer(option, size int) {
+	c.control(func(fd int) { _ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, option, size) })
+}
+
+// control calls use with the connection's descriptor, if it has one.
+func (c *Conn) control(use func(fd int)) {
 	inner, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return
@@ -287,7 +297,7 @@
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) { setBuffers(int(fd), size) })
+	_ = raw.Control(func(fd uintptr) { use(int(fd)) })
 }
 
 // connKey is the key of a connection in the context of its requests.
--- a/internal/limits/port.go
+++ b/internal/limits/port.go
@@ -246,6 +246,9 @@
 			p.changed.Wait()
 			continue
 		}
+		if p.releaseSent() {
+			continue
+		}
 		victim := p.longestHolding(c, wait)
 		switch {
 		case victim != nil:
@@ -264,6 +267,18 @@
 	return true
 }
 
+// tryReserve is reserve for memory that the connection can do without: no other connection is evicted
+// for it, and nothing is rejected without it.
+func (p *Port) tryReserve(c *Conn, n int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.open(c) || p.heldBytes+n > p.maxHeldBytes {
+		return false
+	}
+	p.hold(c, n)
+	return true
+}
+
 // waitForChange waits until something has changed or usefulWaitTimeout is over. The caller holds p.mu.
 func (p *Port) waitForChange() {
 	timer := time.AfterFunc(usefulWaitTimeout, func() {
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -5,9 +5,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"violetthread/internal/clock"
 	"violetthread/internal/codec"
+	"violetthread/internal/taskgroup"
 	"violetthread/schema/fb"
 )
 
@@ -23,8 +25,14 @@
 
 	established    atomic.Bool
 	lastReceivedAt atomic.Int64 // time of the last frame from the peer, in microseconds
+	lastByteAt     atomic.Int64 // time of the last byte from the peer, in microseconds
+	partialBytes   atomic.Int64 // received after the last whole frame
 }
 
+// maxArrivalUS bounds how long a call waits for frames that are arriving, in microseconds: a peer
+// gives up writing one after that time.
+const maxArrivalUS = int64(writeTimeout / time.Microsecond)
+
 func newConnection(parent context.Context) *connection {
 	c := &connection{writeQueue: make(chan queuedFrame, writeQueueFrames), pending: map[uint64]chan *fb.FrameT{}}
 	c.ctx, c.cancel = context.WithCancelCause(parent)
@@ -34,12 +42,13 @@
 // read passes each response to the pending request with the same reference number, until
 // the connection fails. Duplicate responses, and those to no pending request, are dropped.
 func (c *connection) read(conn net.Conn) {
-	reader := newReader(conn, dialedBufferBytes)
+	reader := newReader(arrivalConn{conn, c}, dialedBufferBytes)
 	for {
 		frame, err := codec.ReadFrame(reader)
 		if err != nil {
 			return
 		}
+		c.partialBytes.Store(int64(reader.Buffered()))
 		framesReceived.Add(1)
 		c.lastReceivedAt.Store(clock.Now())
 		if response := c.takePending(frame.Ref); response != nil {
@@ -48,6 +57,39 @@
 	}
 }
 
+// arrivalConn records on a connection when bytes arrive.
+type arrivalConn struct {
+	net.Conn
+	connection *connection
+}
+
+func (a arrivalConn) Read(b []byte) (int, error) {
+	n, err := a.Conn.Read(b)
+	a.connection.partialBytes.Add(int64(n))
+	a.connection.lastByteAt.Store(clock.Now())
+	return n, err
+}
+
+// awaitResponse waits for the response to a request that was sent at sentAt: timeoutUS, and again
+// that long as long as a part of a frame has arrived meanwhile, up to maxArrivalUS.
+func (c *connection) awaitResponse(ctx context.Context, responses <-chan *fb.FrameT, sentAt, timeoutUS int64) (*fb.FrameT, bool) {
+	waitUntil := sentAt + timeoutUS
+	for {
+		now := clock.Now()
+		timer, stop := context.WithTimeout(ctx, clock.Duration(max(0, waitUntil-now)))
+		response, ok := taskgroup.Receive(timer, responses)
+		stop()
+		if ok || ctx.Err() != nil {
+			return response, ok
+		}
+		arriving := c.partialBytes.Load() > 0 && c.lastByteAt.Load() >= waitUntil-timeoutUS
+		if !arriving || waitUntil >= sentAt+maxArrivalUS {
+			return nil, false
+		}
+		waitUntil = min(waitUntil+timeoutUS, max(sentAt+maxArrivalUS, waitUntil))
+	}
+}
+
 // addPending registers a request and returns the channel that receives its response.
 func (c *connection) addPending(ref uint64) <-chan *fb.FrameT {
 	c.mu.Lock()
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -94,23 +94,26 @@
 	}
 }
 
-// Call sends a request once and waits at most timeoutUS microseconds for its response. A
-// *RemoteError is the peer's own response; after any other error it is unknown whether the
-// peer handled the request. When the request times out and no frame at all has arrived since
-// it was sent, the connection is closed, and the next request dials a new one.
+// Call sends a request once and waits for its response: at most timeoutUS microseconds, and longer
+// only while a frame is arriving, since a large one takes its time on a slow link. A *RemoteError
+// is the peer's own response; after any other error it is unknown whether the peer handled the
+// request. When the request times out and no frame at all has arrived since it was sent, the
+// connection is closed, and the next request dials a new one.
 func (p *Peer) Call(ctx context.Context, request *fb.FrameT, timeoutUS int64) (*fb.FrameT, error) {
 	c, err := p.connection()
 	if err != nil {
 		return nil, err
 	}
-	ctx, stop := context.WithTimeout(ctx, clock.Duration(timeoutUS))
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	defer context.AfterFunc(c.ctx, stop)() // no response can arrive once the connection has ended
 	ref, sentAt := p.nextRef(), clock.Now()
 	responses := c.addPending(ref)
 	defer c.takePending(ref)
-	if taskgroup.Send(ctx, c.writeQueue, queuedFrame{frame: encodeWithRef(request, ref), ctx: ctx}) {
-		if response, ok := taskgroup.Receive(ctx, responses); ok {
+	timer, stopTimer := context.WithTimeout(ctx, clock.Duration(timeoutUS))
+	defer stopTimer()
+	if taskgroup.Send(timer, c.writeQueue, queuedFrame{frame: encodeWithRef(request, ref), ctx: ctx}) {
+		if response, ok := c.awaitResponse(ctx, responses, sentAt, timeoutUS); ok {
 			return checkResponse(response)
 		}
 	}
@@ -140,7 +143,8 @@
 	if c.ctx.Err() != nil {
 		return trace.ConnectionProblem(context.Cause(c.ctx), "the connection to %s ended; the request may have been handled", p.addr)
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && c.established.Load() && c.lastReceivedAt.Load() < sentAt {
+	timedOut := ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if timedOut && c.established.Load() && c.lastReceivedAt.Load() < sentAt {
 		c.cancel(errConnectionLost)
 	}
 	return trace.ConnectionProblem(ctx.Err(), "%s did not respond in time; the request may have been handled", p.addr)
--- a/route/change.go
+++ b/route/change.go
@@ -27,11 +27,12 @@
 	Stale                          // its base is not the current version, and it was provably not accepted
 	Invalid                        // will never be accepted
 	Undecidable                    // older than the recorded changes: whether it was accepted is unknown
+	TooLarge                       // valid, but the register can't hold the configuration that results
 )
 
 // String is the outcome's name in logs.
 func (o Outcome) String() string {
-	names := [...]string{"none", "accepted", "duplicate", "stale", "invalid", "undecidable"}
+	names := [...]string{"none", "accepted", "duplicate", "stale", "invalid", "undecidable", "too_large"}
 	if int(o) < len(names) {
 		return names[o]
 	}
--- a/route/document.go
+++ b/route/document.go
@@ -17,6 +17,9 @@
 const (
 	// MaxChangeBytes is the largest change that an operator may send.
 	MaxChangeBytes = 8 << 20
+	// MaxDocumentBytes is the largest value of the register. The former value and the next one must
+	// fit into the state of a control node, beside the other registers.
+	MaxDocumentBytes = 13 << 18
 	// MaxConfigBytes is the largest configuration that may result from a change.
 	MaxConfigBytes = 2 * MaxChangeBytes
 	// MaxAccepted is how many accepted changes are recorded: those of a few hours at three
--- a/route/weightversions.go
+++ b/route/weightversions.go
@@ -19,6 +19,9 @@
 	MaxModels    = 4096
 	MaxModelName = 256 // bytes
 	MaxVersions  = 64  // newest versions of a model that are kept
+
+	// MaxWeightsBytes is the largest value of the register.
+	MaxWeightsBytes = 512 << 10
 )
 
 // WeightVersions are the versions of weights that operators announced for each model.
