proxy: the limits on heads are those of the configuration in force

Cause: MaxHeaderBytes and ReadHeaderTimeout of net/http's server were set once, when the port opened; they must not change while it serves.

Change: the connection counts a head as it arrives and compares it with the limits in force at that moment, as it does for idle time already: too long is answered 431 and closed, as by net/http, too slow is closed. So it holds for connections that are open already. net/http's limits are out of reach.

--- a/internal/app/proxy/callerconn.go
+++ b/internal/app/proxy/callerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -18,14 +19,17 @@
 	requests splitter
 	pending  []byte // received beyond the end of the current request
 	idle     idleState
+	head     headState
 }
 
 type callerConnKey struct{}
 
-// callerListener accepts callers' connections. idleLimit returns how long one may stay idle.
+// callerListener accepts callers' connections. idleLimit returns how long one may stay idle, headLimits
+// what bounds the head of a request; both return what is in force at the time.
 type callerListener struct {
 	net.Listener
-	idleLimit func() time.Duration
+	idleLimit  func() time.Duration
+	headLimits func() headLimits
 }
 
 // Accept waits for the next connection.
@@ -35,7 +39,9 @@
 		return nil, err
 	}
 	limited, _ := c.(*limits.Conn)
-	return &callerConn{Conn: c, limited: limited, idle: idleState{limit: l.idleLimit}}, nil
+	accepted := &callerConn{Conn: c, limited: limited, idle: idleState{limit: l.idleLimit}, head: headState{limits: l.headLimits}}
+	accepted.head.begin()
+	return accepted, nil
 }
 
 // withCallerConn and callerConnOf store and load a request's connection in its context.
@@ -66,26 +72,48 @@
 	if len(b) == 0 {
 		return 0, nil
 	}
+	taken, tooLong, err := c.readRequest(b)
+	if tooLong {
+		c.rejectHead()
+		return 0, io.EOF // net/http closes the connection without an answer of its own
+	}
+	return taken, err
+}
+
+// readRequest reads bytes of one request. tooLong says that they make its head longer than it may be.
+func (c *callerConn) readRequest(b []byte) (taken int, tooLong bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n := copy(b, c.pending); n > 0 {
-		c.idle.since = time.Time{}
-		taken := c.requests.take(b[:n])
+	n := copy(b, c.pending)
+	received := n == 0
+	if received {
+		c.mu.Unlock()
+		n, err = c.receive(b)
+		c.mu.Lock()
+	}
+	if n > 0 {
+		c.leaveIdle()
+	}
+	heads := c.requests.heads
+	taken = c.requests.take(b[:n])
+	if received {
+		c.pending = append([]byte(nil), b[taken:n]...)
+	} else {
 		c.pending = c.pending[taken:]
-		return taken, nil
 	}
-	c.mu.Unlock()
+	if c.requests.heads > heads {
+		c.head.since = time.Time{}
+	}
+	return taken, c.headTooLong(heads), err
+}
+
+// receive reads from the connection until bytes arrive or a limit of the current configuration ends it.
+func (c *callerConn) receive(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	for n == 0 && c.extendIdle(err) {
+	for n == 0 && c.extendDeadline(err) {
 		n, err = c.Conn.Read(b)
 	}
-	c.mu.Lock()
-	if n > 0 {
-		c.idle.since = time.Time{} // the next request has started
-	}
-	taken := c.requests.take(b[:n])
-	c.pending = append([]byte(nil), b[taken:n]...)
-	return taken, err
+	return n, err
 }
 
 // ambiguity returns why the end of the latest request is ambiguous; nil if it is not.
--- a/internal/app/proxy/export_test.go
+++ b/internal/app/proxy/export_test.go
@@ -94,7 +94,7 @@
 	c.pool.dialTimeoutUS = testDialTimeoutUS // the machine may be busy with other tests
 	c.picker = c.newPicker()
 	c.view.Store(&view{table: table, revision: 1, configAt: clock.Now() + 1<<40, configKnown: true, proxies: 1})
-	c.serveCallers(l, table.Limits)
+	c.serveCallers(l)
 	t.Cleanup(func() {
 		c.pool.closeIdle()
 		c.daemon.Group.Stop()
--- a/internal/app/proxy/framing.go
+++ b/internal/app/proxy/framing.go
@@ -18,8 +18,12 @@
 	chunked bool
 }
 
-// maxHeadBytes bounds the head of a caller's request, whatever the configuration allows.
-const maxHeadBytes = 1 << 20
+const (
+	// maxHeadBytes bounds the head of a caller's request, whatever the configuration allows.
+	maxHeadBytes = 8 << 20
+	// maxLineBytes bounds a chunk-size or trailer line of its body.
+	maxLineBytes = 1 << 20
+)
 
 // ambiguous returns the error for a message whose end other parties may find elsewhere.
 func ambiguous(what string) error {
--- a/internal/app/proxy/idle.go
+++ b/internal/app/proxy/idle.go
@@ -34,10 +34,10 @@
 	limit func() time.Duration // returns the current limit, not the one when the idle time began
 }
 
-// deadline returns when an idle connection must be checked next, and whether its idle time has
-// expired.
-func (s idleState) deadline(now time.Time) (next time.Time, expired bool) {
-	end := s.since.Add(s.limit())
+// checkDeadline returns when a connection must be checked next that waits for its caller since a time,
+// and whether it has waited longer than the limit.
+func checkDeadline(now, since time.Time, limit time.Duration) (next time.Time, expired bool) {
+	end := since.Add(limit)
 	if !now.Before(end) {
 		return now, true
 	}
@@ -58,38 +58,60 @@
 	c.limited.TrackState(state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle.since = time.Time{}
-	if state == http.StateIdle {
-		c.idle.since = time.Now()
+	switch state {
+	case http.StateNew: // accepted: its first head is awaited
+	case http.StateIdle:
+		c.idle.since, c.head.since = time.Now(), time.Time{}
+	default:
+		c.idle.since, c.head.since = time.Time{}, time.Time{}
 	}
 }
 
-// isIdle returns the connection's idle state, and whether it is idle.
-func (c *callerConn) isIdle() (idleState, bool) {
+// leaveIdle records that the head of the next request begins, if the connection was idle. The caller
+// holds c.mu.
+func (c *callerConn) leaveIdle() {
+	if !c.idle.since.IsZero() {
+		c.idle.since = time.Time{}
+		c.head.begin()
+	}
+}
+
+// nextCheck returns when a connection must be checked next that is idle or receives a head, and whether
+// the current configuration does not let it wait any longer. waiting is false for other connections.
+func (c *callerConn) nextCheck() (next time.Time, expired, waiting bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle, !c.idle.since.IsZero()
+	switch {
+	case !c.idle.since.IsZero():
+		next, expired = checkDeadline(time.Now(), c.idle.since, c.idle.limit())
+	case !c.head.since.IsZero():
+		next, expired = checkDeadline(time.Now(), c.head.since, c.head.limits().timeout)
+	default:
+		return next, false, false
+	}
+	return next, expired, true
 }
 
-// SetReadDeadline sets the time after which reads fail. While the connection is idle, the current
-// idle limit replaces the server's deadline.
+// SetReadDeadline sets the time after which reads fail. While the connection is idle or receives a head,
+// the current limits replace the server's deadline.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if idle, ok := c.isIdle(); ok {
-		t, _ = idle.deadline(time.Now())
+	if t.IsZero() { // net/http has bytes of the next request, some of which may have been read early
+		c.mu.Lock()
+		c.leaveIdle()
+		c.mu.Unlock()
+	}
+	if next, _, waiting := c.nextCheck(); waiting {
+		t = next
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// extendIdle reports whether a read that reached its deadline is to be repeated, because the
-// connection may stay idle for longer. If so, it has set the next deadline.
-func (c *callerConn) extendIdle(err error) bool {
+// extendDeadline reports whether a read that reached its deadline is to be repeated, because the
+// connection may wait for longer. If so, it has set the next deadline.
+func (c *callerConn) extendDeadline(err error) bool {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
-	idle, ok := c.isIdle()
-	if !ok {
-		return false
-	}
-	next, expired := idle.deadline(time.Now())
-	return !expired && c.Conn.SetReadDeadline(next) == nil
+	next, expired, waiting := c.nextCheck()
+	return waiting && !expired && c.Conn.SetReadDeadline(next) == nil
 }
--- a/internal/app/proxy/idle_test.go
+++ b/internal/app/proxy/idle_test.go
@@ -69,3 +69,38 @@
 		t.Errorf("%d reads, error %v; want one that ends at its deadline", far.reads, err)
 	}
 }
+
+// TestHeadTimeoutInForce guards against a time-out of heads that is looked up only when the port opens: it
+// is that of the configuration in force, for heads on connections that are open already as well.
+func TestHeadTimeoutInForce(t *testing.T) {
+	for name, begin := range map[string]func(c *callerConn){
+		"first head":                  func(c *callerConn) { c.head.begin() },
+		"head on a kept connection":   func(c *callerConn) { trackConnState(c, http.StateIdle); _ = c.SetReadDeadline(time.Time{}) },
+		"head after a long idle time": func(c *callerConn) { trackConnState(c, http.StateIdle); c.leaveIdle() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			limit := time.Hour
+			far := &deadlineConn{}
+			c := &callerConn{Conn: far, idle: idleState{limit: func() time.Duration { return time.Hour }}}
+			c.head.limits = func() headLimits { return headLimits{defaultHeadBytes, limit} }
+			far.beforeRead = func(reads int) {
+				if reads == 3 { // an operator lowers the limit below the time that the head has taken so far
+					limit = 0
+				}
+			}
+			begin(c)
+			_ = c.SetReadDeadline(time.Now().Add(headerUnbounded))
+			if d := time.Until(far.deadlines[len(far.deadlines)-1]); d > idleCheckInterval {
+				t.Errorf("the limit is checked again only after %v, want %v at most", d, idleCheckInterval)
+			}
+			if _, err := c.Read(make([]byte, 1)); err == nil || far.reads != 3 {
+				t.Errorf("%d reads, error %v; want one that ends at the third", far.reads, err)
+			}
+			trackConnState(c, http.StateActive)
+			want := time.Now().Add(time.Minute)
+			if _ = c.SetReadDeadline(want); !far.deadlines[len(far.deadlines)-1].Equal(want) {
+				t.Error("the time-out of heads applies to a body")
+			}
+		})
+	}
+}
--- a/internal/app/proxy/readiness.go
+++ b/internal/app/proxy/readiness.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"violetthread/internal/clock"
-	"violetthread/route"
 )
 
 const (
@@ -35,7 +34,7 @@
 		s.daemon.SetReady("no engine is known yet")
 		return
 	}
-	if err := s.listenOnce(v.table.Limits); err != nil {
+	if err := s.listenOnce(); err != nil {
 		s.daemon.SetReady(err.Error())
 		return
 	}
@@ -44,11 +43,11 @@
 }
 
 // listenOnce opens the port for callers, unless it is already open or the proxy is stopping.
-func (s *server) listenOnce(limits route.Limits) error {
+func (s *server) listenOnce() error {
 	if s.httpServer.Load() != nil || s.daemon.Stopping() {
 		return nil
 	}
-	return s.listen(limits)
+	return s.listen()
 }
 
 // setRetryAllowance sets this proxy's share of the retry allowance, which this many proxies divide
--- a/internal/app/proxy/server.go
+++ b/internal/app/proxy/server.go
@@ -92,8 +92,6 @@
 	operationalFraction = 0.15
 
 	portCallers = "callers" // name of the port for callers in logs and metrics
-
-	defaultHeaderTimeout = 5 * time.Second // if the configuration sets none
 )
 
 var noDeadline = time.Time{}
@@ -171,34 +169,32 @@
 	return window
 }
 
-// listen opens the port for callers, with the limits of the configuration.
-func (s *server) listen(requestLimits route.Limits) error {
+// listen opens the port for callers.
+func (s *server) listen() error {
 	listener, err := limits.Listen(s.settings.Listen, s.callers)
 	if err != nil {
 		return trace.ConnectionProblem(err, "can't listen on %s; give it a free IP:port of this machine", s.settings.Listen)
 	}
-	s.serveCallers(listener, requestLimits)
+	s.serveCallers(listener)
 	s.daemon.Log.Info("listening", "addr", s.settings.Listen)
 	return nil
 }
 
-// serveCallers serves callers' requests from a listener.
-func (s *server) serveCallers(listener net.Listener, requestLimits route.Limits) {
+// serveCallers serves callers' requests from a listener. The limits of the configuration are looked up as
+// requests arrive, since net/http's own are fixed when it starts.
+func (s *server) serveCallers(listener net.Listener) {
 	httpServer := &http.Server{
 		Handler:           http.HandlerFunc(s.serveRequest),
-		ReadHeaderTimeout: clock.Duration(requestLimits.HeaderUS),
+		ReadHeaderTimeout: headerUnbounded,
 		IdleTimeout:       idleUnbounded,
-		MaxHeaderBytes:    int(requestLimits.HeaderBytes),
+		MaxHeaderBytes:    maxHeadBytes,
 		ErrorLog:          log.New(io.Discard, "", 0),
 		ConnContext:       withCallerConn,
 		ConnState:         trackConnState,
 	}
-	if requestLimits.HeaderUS <= 0 {
-		httpServer.ReadHeaderTimeout = defaultHeaderTimeout
-	}
 	s.httpServer.Store(httpServer)
 	s.daemon.Group.Go("callers", func(context.Context) {
-		if err := httpServer.Serve(callerListener{Listener: listener, idleLimit: s.idleLimit}); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := httpServer.Serve(callerListener{Listener: listener, idleLimit: s.idleLimit, headLimits: s.headLimits}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			s.daemon.Log.Info("serving_failed", "error", err.Error())
 			s.daemon.Stop()
 		}
--- a/internal/app/proxy/splitter.go
+++ b/internal/app/proxy/splitter.go
@@ -7,11 +7,14 @@
 
 // splitter finds the end of each request in the bytes received on a connection.
 type splitter struct {
-	part      part
-	head      []byte // partial head of the current request
-	line      []byte // partial chunk-size line or trailer line
-	remaining int64  // bytes left of the body or of the chunk
-	ambiguity error  // of the request whose head was received last
+	part part
+	head []byte // partial head of the current request
+	// headLength is the length of the head that is being received, or of the last complete one.
+	headLength int
+	heads      uint64 // complete ones
+	line       []byte // partial chunk-size line or trailer line
+	remaining  int64  // bytes left of the body or of the chunk
+	ambiguity  error  // of the request whose head was received last
 }
 
 // part is the part of a request that the next byte belongs to.
@@ -61,13 +64,19 @@
 func (s *splitter) takeHead(b []byte) int {
 	before := len(s.head)
 	s.head = append(s.head, b...)
-	end := headEnd(s.head)
+	s.headLength = len(s.head)
+	// The end of the head may begin in the last two bytes of what was there before.
+	searched := max(0, before-2)
+	end := headEnd(s.head[searched:])
 	if end == 0 {
 		if len(s.head) > maxHeadBytes {
 			s.setAmbiguous(ambiguous("no end of the request head within the size limit"))
 		}
 		return len(b)
 	}
+	end += searched
+	s.headLength = end
+	s.heads++
 	f, err := framingOf(s.head[:end])
 	s.head = s.head[:0]
 	s.ambiguity = err
@@ -82,6 +91,9 @@
 	return end - before
 }
 
+// inHead reports whether a part of a head has been received.
+func (s *splitter) inHead() bool { return s.part == partHead && len(s.head) > 0 }
+
 // bodyPartEnded moves on to the part that follows a body or a chunk.
 func (s *splitter) bodyPartEnded() {
 	if s.part == partChunk {
@@ -98,7 +110,7 @@
 		n = len(b)
 	}
 	s.line = append(s.line, b[:n]...)
-	if len(s.line) > maxHeadBytes {
+	if len(s.line) > maxLineBytes {
 		s.setAmbiguous(ambiguous("a chunk-size or trailer line over the size limit"))
 		return n
 	}
