limits: a large send buffer stays with its connection until others need it

Callers saw, since ports are bounded: a response of 1 MiB through a proxy takes many times as long. Here, on a kept connection, median of 15: 300 KiB 88 to 92 ms instead of 1.3 to 2.2 ms, 1 MiB 92 to 95 ms instead of 5 to 11, 8 MiB 108 to 119 ms instead of 21 to 29.

Cause: the kernel's send buffer has 8 KiB, and the larger one was asked for only behind the first 256 KiB of a response and taken back as soon as the request ended, with most of the response unsent. A write that finds the buffer full waits for the peer's delayed acknowledgement of 40 ms.

Change: the buffer grows with the first write of over 16 KiB, if there is memory, and shrinks only when the memory is needed for others and the peer has what was sent; the 128 KiB stay reserved until then. So the bound holds, and nobody is evicted for a large buffer.

--- a/internal/app/proxy/export_test.go
+++ b/internal/app/proxy/export_test.go
@@ -15,6 +15,7 @@
 	"violetthread/cacheindex"
 	"violetthread/internal/clock"
 	"violetthread/internal/daemon"
+	"violetthread/internal/limits"
 	"violetthread/placement"
 	"violetthread/route"
 )
@@ -103,6 +104,18 @@
 	return u
 }
 
+// ListenBounded makes the proxy listen on a port whose connections are accounted to a machine as well,
+// and returns its address.
+func (u *Standalone) ListenBounded(t testing.TB, machine limits.Machine) string {
+	t.Helper()
+	l, err := limits.Listen("127.0.0.1:0", machine.NewPort(portCallers, 1-operationalFraction, logr.Discard()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.server.serveCallers(l)
+	return l.Addr().String()
+}
+
 // SetEngines replaces the engines by ones without a record of failures.
 func (u *Standalone) SetEngines(engines ...*placement.Engine) {
 	u.server.mu.Lock()
--- a/internal/limits/conn.go
+++ b/internal/limits/conn.go
@@ -47,8 +47,8 @@
 	headReserved int64
 	expanded     bool // the kernel's receive buffer has largeBufferBytes
 
-	// Only the goroutine that writes uses it; Idle does so between two writes.
-	sendExpanded bool // the kernel's send buffer has largeBufferBytes
+	// sendExpanded is changed under port.mu.
+	sendExpanded atomic.Bool // the kernel's send buffer has largeBufferBytes, and expandedBytes are held for it
 
 	// Guarded by port.mu.
 	held      int64         // bytes beyond connectionBytes
@@ -59,7 +59,6 @@
 	evicted   bool
 	inGroup   bool
 	group     string
-	unsent    bool // expandedBytes are held for what the kernel had not sent when the last request ended
 
 	waitingSince time.Time
 }
@@ -212,9 +211,6 @@
 	}
 	c.port.mu.Lock()
 	defer c.port.mu.Unlock()
-	if c.unsent && c.isSent() {
-		c.port.settleUnsent(c)
-	}
 	c.port.startWaiting(c)
 }
 
@@ -237,8 +233,8 @@
 	return !c.evicted
 }
 
-// Idle records that a request has been answered. All that it held is released, and the connection waits
-// for the next request.
+// Idle records that a request has been answered. All that it held is released, but for a large
+// send buffer, and the connection waits for the next request.
 func (c *Conn) Idle() {
 	if c == nil {
 		return
@@ -246,12 +242,10 @@
 	c.headCost, c.headReserved = 0, 0
 	c.readingHead.Store(true)
 	c.shrink()
-	unsent := c.sendExpanded && !c.isSent()
-	c.shrinkSend()
 	c.port.mu.Lock()
 	defer c.port.mu.Unlock()
 	c.port.leaveGroup(c)
-	c.port.releaseIdle(c, unsent)
+	c.port.releaseRequest(c)
 	c.port.startWaiting(c)
 }
 
--- a/internal/limits/port.go
+++ b/internal/limits/port.go
@@ -272,7 +272,13 @@
 func (p *Port) tryReserve(c *Conn, n int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.open(c) || p.heldBytes+n > p.maxHeldBytes {
+	return p.holdOptional(c, n)
+}
+
+// holdOptional is tryReserve for callers that hold p.mu.
+func (p *Port) holdOptional(c *Conn, n int64) bool {
+	fits := func() bool { return p.heldBytes+n <= p.maxHeldBytes }
+	if !p.open(c) || !fits() && !(p.releaseSent() && fits()) {
 		return false
 	}
 	p.hold(c, n)
--- a/internal/limits/send.go
+++ b/internal/limits/send.go
@@ -7,29 +7,18 @@
 )
 
 // Write writes to the connection. While the peer does not read, the connection counts as waiting for it.
-// The kernel's send buffer is large during large writes if the port has the memory.
+// The kernel's send buffer is large from a large write on, if the port has the memory, until that is
+// needed for others. It does not shrink with each response: the next one would wait for the peer's
+// delayed acknowledgement.
 func (c *Conn) Write(b []byte) (int, error) {
-	switch large := len(b) > largeWriteBytes; {
-	case large && !c.sendExpanded && c.port.tryReserve(c, expandedBytes):
-		c.sendExpanded = true
-		c.setBuffer(unix.SO_SNDBUF, largeBufferBytes)
-	case !large && c.sendExpanded && c.isSent():
-		c.shrinkSend()
-		c.Release(expandedBytes)
+	if len(b) > largeWriteBytes && !c.sendExpanded.Load() {
+		c.port.expandSend(c)
 	}
 	c.writingSince.Store(time.Now().UnixNano())
 	defer c.writingSince.Store(0)
 	return c.Conn.Write(b)
 }
 
-// shrinkSend restores the kernel's send buffer. What is in it already stays there until it is sent.
-func (c *Conn) shrinkSend() {
-	if c.sendExpanded {
-		c.sendExpanded = false
-		c.setBuffer(unix.SO_SNDBUF, kernelBufferBytes)
-	}
-}
-
 // isSent reports whether the peer has all but what fits into the kernel's small send buffer. It is true
 // as well if the system can't tell.
 func (c *Conn) isSent() bool {
@@ -42,38 +31,50 @@
 	return queued <= largeWriteBytes
 }
 
-// releaseIdle releases what a connection held for its last request. If the kernel has not sent the whole
-// response yet, the connection still holds expandedBytes for it. The caller holds p.mu.
-func (p *Port) releaseIdle(c *Conn, unsent bool) {
+// expandSend enlarges a connection's send buffer, if there is memory for that.
+func (p *Port) expandSend(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !c.sendExpanded.Load() && p.holdOptional(c, expandedBytes) {
+		c.sendExpanded.Store(true)
+		c.setBuffer(unix.SO_SNDBUF, largeBufferBytes)
+	}
+}
+
+// shrinkSend undoes expandSend if the peer has what was sent, and returns whether it did. The caller
+// holds p.mu.
+func (p *Port) shrinkSend(c *Conn) bool {
+	if !c.sendExpanded.Load() || !c.isSent() {
+		return false
+	}
+	c.sendExpanded.Store(false)
+	c.setBuffer(unix.SO_SNDBUF, kernelBufferBytes)
+	p.release(c, expandedBytes)
+	if c.held == 0 && c.holding != nil {
+		p.holding.Remove(c.holding)
+		c.holding = nil
+	}
+	return true
+}
+
+// releaseRequest releases what a connection held for its last request, but for a large send buffer. The
+// caller holds p.mu.
+func (p *Port) releaseRequest(c *Conn) {
 	kept := int64(0)
-	if unsent {
-		kept = min(c.held, expandedBytes)
+	if c.sendExpanded.Load() {
+		kept = expandedBytes
 	}
 	p.release(c, c.held-kept)
-	c.unsent = kept > 0
 }
 
-// releaseSent releases what idle connections held for responses that have been sent by now, and reports
-// whether there were any. The caller holds p.mu.
+// releaseSent shrinks the large send buffers of waiting connections whose responses have been sent by
+// now, and reports whether there were any. The caller holds p.mu.
 func (p *Port) releaseSent() bool {
 	found := false
 	for e := p.holding.Front(); e != nil; {
 		c := connOf(e)
 		e = e.Next()
-		if c.unsent && c.isSent() {
-			found = true
-			p.settleUnsent(c)
-		}
+		found = p.shrinkSend(c) || found
 	}
 	return found
 }
-
-// settleUnsent releases what a connection held for a response that has been sent. The caller holds p.mu.
-func (p *Port) settleUnsent(c *Conn) {
-	c.unsent = false
-	p.release(c, expandedBytes)
-	if c.held == 0 && c.holding != nil {
-		p.holding.Remove(c.holding)
-		c.holding = nil
-	}
-}
